--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+.PHONY: install demo test lint format lock binary
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: install
+	$(BIN)/python -m examples.demo
+
+test: install lint
+	$(BIN)/python -m pytest
+
+lint: install
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: install
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+lock:
+	$(BIN)/python -m piptools compile --quiet --extra dev --generate-hashes \
+	  --no-emit-index-url --no-emit-find-links --no-emit-trusted-host \
+	  --allow-unsafe --output-file requirements.lock pyproject.toml
+
+binary: install
+	mkdir -p dist
+	$(BIN)/shiv --quiet --compressed -o dist/ragwortferry -e ragwortferry.__main__:main \
+	  -r requirements-run.lock .
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that measure the system."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that show the system at work."""
--- /dev/null
+++ b/ragwortferry/cli.py
@@ -0,0 +1,176 @@
+"""The command line."""
+
+__all__ = ["main"]
+
+import inspect
+import os
+import sys
+from collections.abc import Callable
+
+import fire
+
+from ragwortferry import __version__
+from ragwortferry.exceptions import SettingsError
+from ragwortferry.settings import Settings, load_settings
+from ragwortferry.utils.decorators import one_line_errors
+
+DEFAULT_AT = "127.0.0.1:8081"
+
+
+def _with_settings(function: Callable) -> Callable:
+    """Give a command one flag for each setting, with the help of the settings."""
+    fields = zip(Settings.__struct_fields__, Settings.__struct_defaults__, strict=True)
+    parameters = [
+        inspect.Parameter(name, inspect.Parameter.KEYWORD_ONLY, default=default)
+        for name, default in fields
+    ]
+    function.__signature__ = inspect.Signature(parameters)
+    described = inspect.cleandoc(Settings.__doc__).partition("\n\n")[2]
+    function.__doc__ = f"{inspect.cleandoc(function.__doc__)}\n\n{described}"
+    return function
+
+
+@_with_settings
+@one_line_errors
+def run(**flags) -> None:
+    """Run the proxy of this instance until it is told to stop.
+
+    Each flag is also an environment variable, such as RAGWORTFERRY_ZONE.
+    """
+    given = {name: value for name, value in flags.items() if _is_given(name, value)}
+    settings = load_settings(given)
+    from ragwortferry.composition import Process
+
+    raise SystemExit(Process(settings).run())
+
+
+def _is_given(name: str, value: object) -> bool:
+    """Return whether a flag stands on the command line, even with its default."""
+    position = Settings.__struct_fields__.index(name)
+    if value != Settings.__struct_defaults__[position]:
+        return True
+    flag = "--" + name
+    spelled = [word.partition("=")[0].replace("-", "_") for word in sys.argv]
+    return flag.replace("-", "_") in spelled
+
+
+@one_line_errors
+def check(
+    directory: str, against: str = "", source: str = "", version: int = 0
+) -> None:
+    """Check a document before it is accepted and print the manifest to publish.
+
+    The report goes to standard error, the manifest to standard output.
+
+    :param directory: sections as NAME.toml, and accepted.json that they were made from
+    :param against: older manifest to compare with, instead of accepted.json
+    :param source: platform to ask which version is accepted by now
+    :param version: number of the new version, 0 for the next one
+    """
+    from ragwortferry.document.check import run_check
+
+    raise SystemExit(run_check(str(directory), against, source, version))
+
+
+@one_line_errors
+def status(
+    at: str = DEFAULT_AT, version: int = 0, json: bool = False, watch: float = 0
+) -> None:
+    """Tell where a version stands over the fleet, asked of one process.
+
+    Exit code 0: every listed instance enforces it; 2: not all do; 1: no answer.
+
+    :param at: host:port of the owner port of any process
+    :param version: version to ask for, 0 for the newest known
+    :param json: print JSON
+    :param watch: seconds after which to ask again until every instance enforces it
+    """
+    from ragwortferry.record.standing import run_status
+
+    raise SystemExit(run_status(at, version, json, watch))
+
+
+@one_line_errors
+def explain(request_id: str, logs: str, document: str = "", json: bool = False) -> None:
+    """Tell from collected logs which configuration governed a request.
+
+    :param request_id: id of the request
+    :param logs: log files or directories, joined by commas
+    :param document: directory with the section texts, to print the one that governed
+    :param json: print JSON
+    """
+    from ragwortferry.record.explain import run_explain
+
+    paths = logs if isinstance(logs, tuple) else str(logs).split(",")
+    raise SystemExit(run_explain(str(request_id), paths, document, json))
+
+
+@one_line_errors
+def timeline(
+    logs: str,
+    instance: str = "",
+    zone: str = "",
+    version: int = 0,
+    request: str = "",
+    since: str = "",
+    until: str = "",
+    html: str = "",
+) -> None:
+    """Merge the events of all processes in an order that respects cause and effect.
+
+    :param logs: log files or directories, joined by commas
+    :param instance: only events of this instance
+    :param zone: only events of this availability zone
+    :param version: only events about this version
+    :param request: only events about this request id
+    :param since: only events from this UTC time on, as 2026-01-31T12:00:00
+    :param until: only events before this UTC time
+    :param html: write a page with one lane for each process to this file
+    """
+    from ragwortferry.record.timeline import Filter, run_timeline
+
+    paths = logs if isinstance(logs, tuple) else str(logs).split(",")
+    wanted = Filter(instance, zone, version, str(request), str(since), str(until))
+    raise SystemExit(run_timeline(paths, wanted, html))
+
+
+def version() -> None:
+    """Print the version of the program."""
+    print(f"ragwortferry {__version__}")
+
+
+COMMANDS = {
+    "run": run,
+    "check": check,
+    "status": status,
+    "explain": explain,
+    "timeline": timeline,
+    "version": version,
+}
+
+
+@one_line_errors
+def _refuse_unknown(words: list[str]) -> None:
+    """Raise an error for a command or flag that does not exist."""
+    if not words or words[0] in ("-h", "--help", "--"):
+        return
+    if words[0] not in COMMANDS:
+        known = ", ".join(COMMANDS)
+        raise SettingsError(f"unknown command {words[0]!r}; commands: {known}")
+    parameters = inspect.signature(COMMANDS[words[0]]).parameters
+    for word in words[1:]:
+        name = word.partition("=")[0].lstrip("-").replace("-", "_")
+        if word == "--":
+            return
+        if word.startswith("--") and name != "help" and name not in parameters:
+            raise SettingsError(f"unknown flag {word.partition('=')[0]!r}")
+
+
+def main() -> None:
+    """Run the command that the command line names."""
+    os.environ["PAGER"] = "-"
+    _refuse_unknown(sys.argv[1:])
+    try:
+        fire.Fire(COMMANDS, name="ragwortferry")
+    except BrokenPipeError:
+        sys.stderr.close()
--- /dev/null
+++ b/ragwortferry/document/__init__.py
@@ -0,0 +1,1 @@
+"""The document that operators publish: its sections, manifest and validation."""
--- /dev/null
+++ b/ragwortferry/document/check.py
@@ -0,0 +1,149 @@
+"""Checks a document before it is accepted."""
+
+__all__ = ["load_directory", "run_check"]
+
+import asyncio
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+
+from expression import Error, Result
+
+from ragwortferry.document.models import (
+    Manifest,
+    decode_manifest,
+    decode_section,
+    encode_manifest,
+)
+from ragwortferry.document.snapshot import Section, Snapshot, build_snapshot
+from ragwortferry.exceptions import RagwortferryError, SettingsError
+from ragwortferry.source import directory, http  # noqa: F401 (they register adapters)
+from ragwortferry.source.port import ACCEPTED_KEY, open_source
+from ragwortferry.utils.digests import content_digest
+
+EXIT_REFUSED = 1
+NO_MANIFEST_VERSION = 0
+
+
+def load_directory(path: Path) -> dict[str, bytes]:
+    """Return the section texts of a directory by section name.
+
+    :raises SettingsError: if there are none.
+    """
+    files = sorted(path.glob("*.toml"))
+    texts = {item.stem: item.read_bytes() for item in files if "." not in item.stem}
+    if not texts:
+        raise SettingsError(f"{path}: no section (NAME.toml) is there")
+    return texts
+
+
+def _load_manifest(path: Path) -> Manifest | None:
+    if not path.exists():
+        return None
+    data = path.read_bytes()
+    if not data:
+        hint = "write the manifest to another file first, then move it here"
+        raise RagwortferryError(f"{path} is empty; {hint}")
+    result = decode_manifest(data)
+    if result.is_error():
+        raise RagwortferryError(f"{path}: {result.error}")
+    return result.ok
+
+
+def validate(manifest: Manifest, texts: Mapping[str, bytes]) -> Result[Snapshot, str]:
+    """Return the verdict of every proxy on a version."""
+    sections, problems = {}, []
+    for name, text in texts.items():
+        parsed = decode_section(name, text)
+        if parsed.is_error():
+            problems.append(parsed.error)
+        else:
+            digest = manifest.sections[name]
+            sections[name] = Section.from_model(name, digest, parsed.ok)
+    return (
+        Error("; ".join(problems)) if problems else build_snapshot(manifest, sections)
+    )
+
+
+def run_check(path: str, against: str, source: str, version: int) -> int:
+    """Print the report and the manifest; return the exit code."""
+    folder = Path(path)
+    texts = load_directory(folder)
+    base = _load_manifest(Path(against) if against else folder / "accepted.json")
+    if against and base is None:
+        raise SettingsError(f"--against: {against} is not there")
+    current = asyncio.run(_read_accepted(source)) if source else base
+    digests = {name: content_digest(text) for name, text in texts.items()}
+    moved = _moved(base, current, digests)
+    for line in moved:
+        _report(line)
+    made_from = current.version if current else NO_MANIFEST_VERSION
+    manifest = Manifest(version or made_from + 1, made_from, digests)
+    result = validate(manifest, texts)
+    if manifest.version <= made_from:
+        result = Error(f"version {manifest.version} is not above {made_from}")
+    match result:
+        case Result(tag="ok", ok=snapshot) if not moved:
+            _report_accepted(snapshot, base)
+            print(encode_manifest(manifest).decode())
+            return 0
+        case Result(tag="error", error=reason):
+            _report(f"every proxy would refuse version {manifest.version}: {reason}")
+    return EXIT_REFUSED
+
+
+async def _read_accepted(address: str) -> Manifest | None:
+    source = open_source(address)
+    try:
+        value = await source.read(ACCEPTED_KEY)
+    finally:
+        await source.close()
+    if value is None:
+        return None
+    result = decode_manifest(value.data)
+    if result.is_error():
+        raise RagwortferryError(f"{address}: {result.error}")
+    return result.ok
+
+
+def _moved(
+    base: Manifest | None, current: Manifest | None, mine: Mapping[str, str]
+) -> list[str]:
+    """Return a line for each section that someone else changed since ``base``."""
+    if current is None or current == base:
+        return []
+    old = base.sections if base else {}
+    lines = []
+    for name in sorted(old.keys() | current.sections.keys()):
+        theirs = current.sections.get(name)
+        if theirs == old.get(name) or theirs == mine.get(name):
+            continue
+        edited = mine.get(name) != old.get(name)
+        what = "was edited here too: merge it" if edited else "take its new text"
+        lines.append(
+            f"section {name!r} moved meanwhile, in version {current.version}; {what}"
+        )
+    return lines
+
+
+def _report_accepted(snapshot: Snapshot, base: Manifest | None) -> None:
+    upstreams = sum(len(item.upstreams) for item in snapshot.services.values())
+    _report(
+        f"every proxy would enforce version {snapshot.version} "
+        f"(digest {snapshot.digest[:12]}): {len(snapshot.sections)} sections, "
+        f"{len(snapshot.services)} services, {upstreams} upstreams, "
+        f"{len(snapshot.routes)} routes"
+    )
+    old = base.sections if base else {}
+    new = snapshot.manifest.sections
+    for name in sorted(old.keys() | new.keys()):
+        if name not in old:
+            _report(f"section {name!r} is new")
+        elif name not in new:
+            _report(f"section {name!r} is gone")
+        elif old[name] != new[name]:
+            _report(f"section {name!r} changed: {old[name][:12]} to {new[name][:12]}")
+
+
+def _report(line: str) -> None:
+    print(f"check: {line}", file=sys.stderr)
--- /dev/null
+++ b/ragwortferry/document/models.py
@@ -0,0 +1,155 @@
+"""Validated models of a section and a manifest, as published."""
+
+__all__ = [
+    "MAX_SECTION_BYTES",
+    "Manifest",
+    "RouteModel",
+    "SectionModel",
+    "ServiceModel",
+    "UpstreamModel",
+    "decode_manifest",
+    "decode_section",
+    "encode_manifest",
+]
+
+import tomllib
+from typing import Annotated
+
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import Meta, Struct
+
+MAX_SECTION_BYTES = 1_000_000
+MAX_SECTIONS = 4_096
+
+Name = Annotated[
+    str, Meta(min_length=1, max_length=63, pattern=r"^[a-z0-9]([a-z0-9-]*[a-z0-9])?$")
+]
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+Version = Annotated[int, Meta(ge=1, le=2**53)]
+Prefix = Annotated[str, Meta(max_length=255, pattern=r"^(/|(/[A-Za-z0-9._~-]+)+)$")]
+Method = Annotated[str, Meta(pattern=r"^[A-Z]+$")]
+Milliseconds = Annotated[int, Meta(ge=1, le=3_600_000)]
+
+
+class UpstreamModel(Struct, forbid_unknown_fields=True, frozen=True):
+    """One back end of a service, named like the instance that runs it.
+
+    :param name: instance name.
+    :param zone: availability zone.
+    """
+
+    name: Name
+    zone: Name
+
+
+class ServiceModel(Struct, forbid_unknown_fields=True, frozen=True):
+    """A service and the limits of each of its upstreams.
+
+    :param slots: requests that an upstream runs at once.
+    :param connections: connections that an upstream accepts.
+    :param queue: requests that may wait for a slot at an upstream.
+    :param slow_start_s: seconds over which a new upstream takes on its full share.
+    """
+
+    name: Name
+    upstreams: Annotated[tuple[UpstreamModel, ...], Meta(min_length=1)]
+    slots: Annotated[int, Meta(ge=1, le=10_000)] = 20
+    connections: Annotated[int, Meta(ge=1, le=100_000)] = 130
+    queue: Annotated[int, Meta(ge=0, le=100_000)] = 40
+    slow_start_s: Annotated[float, Meta(ge=0, le=600)] = 5.0
+
+
+class RouteModel(Struct, forbid_unknown_fields=True, frozen=True):
+    """A route from a path prefix to a service.
+
+    :param prefix: path prefix, matched by whole path segments.
+    :param idempotent: whether a request may be sent again after it may have run.
+    :param timeout_ms: longest time from arrival to the first byte of the answer.
+    :param silence_ms: longest pause inside a streamed answer.
+    :param retries: further attempts at most.
+    :param max_share: share of an upstream's slots that the route may hold.
+    """
+
+    name: Name
+    prefix: Prefix
+    service: Name
+    methods: Annotated[tuple[Method, ...], Meta(min_length=1)] = ("GET",)
+    idempotent: bool = False
+    timeout_ms: Milliseconds = 2_000
+    silence_ms: Milliseconds = 10_000
+    retries: Annotated[int, Meta(ge=0, le=5)] = 1
+    max_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
+
+
+class SectionModel(Struct, forbid_unknown_fields=True, frozen=True):
+    """One team's part of the document.
+
+    :param team: name of the team that owns the section.
+    """
+
+    team: Annotated[str, Meta(min_length=1, max_length=100)]
+    services: tuple[ServiceModel, ...] = ()
+    routes: tuple[RouteModel, ...] = ()
+
+
+class Manifest(Struct, forbid_unknown_fields=True, frozen=True):
+    """The commit point of a version: each section by its digest.
+
+    :param version: number of the version, growing.
+    :param base: version that this one was made from, 0 for the first.
+    :param sections: digest of each section by name.
+    """
+
+    version: Version
+    base: Annotated[int, Meta(ge=0)]
+    sections: Annotated[dict[Name, Digest], Meta(min_length=1, max_length=MAX_SECTIONS)]
+
+
+def decode_section(name: str, data: bytes) -> Result[SectionModel, str]:
+    """Parse and validate the text of a section.
+
+    :param name: section name, for the error.
+    :param data: TOML text in UTF-8.
+    :returns: the section, or one line naming section, field, value and rule.
+    """
+    if len(data) > MAX_SECTION_BYTES:
+        rule = f"{len(data)} bytes, at most {MAX_SECTION_BYTES} are allowed"
+        return Error(f"section {name!r}: {rule}")
+    try:
+        tree = tomllib.loads(data.decode())
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return Error(f"section {name!r}: malformed TOML: {error}")
+    try:
+        return Ok(msgspec.convert(tree, SectionModel))
+    except msgspec.ValidationError as error:
+        return Error(f"section {name!r}: {_explain(error, tree)}")
+
+
+def _explain(error: msgspec.ValidationError, tree: object) -> str:
+    """Add the offending value to a validation error, which names field and rule."""
+    text = str(error)
+    if " - at `$" not in text:
+        return text
+    rule, path = text.rsplit(" - at `$", 1)
+    path = path.rstrip("`")
+    value = tree
+    for step in path.replace("[", ".[").split(".")[1:]:
+        try:
+            value = value[int(step[1:-1])] if step[0] == "[" else value[step]
+        except (KeyError, IndexError, ValueError, TypeError):
+            return f"field {path.lstrip('.')}: {rule}"
+    return f"field {path.lstrip('.')}, value {str(value)[:80]!r}: {rule}"
+
+
+def decode_manifest(data: bytes) -> Result[Manifest, str]:
+    """Parse and validate the JSON text of a manifest."""
+    try:
+        return Ok(msgspec.json.decode(data, type=Manifest))
+    except msgspec.DecodeError as error:
+        return Error(f"manifest: {error}")
+
+
+def encode_manifest(manifest: Manifest) -> bytes:
+    """Return the canonical text of a manifest, whose digest names the version."""
+    return msgspec.json.encode(manifest, order="sorted")
--- /dev/null
+++ b/ragwortferry/document/snapshot.py
@@ -0,0 +1,260 @@
+"""The immutable snapshot of one version, and its checks across sections."""
+
+__all__ = ["Route", "Section", "Service", "Snapshot", "Upstream", "build_snapshot"]
+
+import sys
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from expression import Error, Ok, Result
+
+from ragwortferry.document.models import Manifest, SectionModel, encode_manifest
+from ragwortferry.utils.digests import content_digest
+
+MAX_REASONS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One back end, named like its instance."""
+
+    name: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service with the limits of each upstream; see ``ServiceModel`` for units."""
+
+    name: str
+    section: str
+    upstreams: tuple[Upstream, ...]
+    slots: int
+    connections: int
+    queue: int
+    slow_start_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A route to a service; see ``RouteModel`` for units."""
+
+    name: str
+    section: str
+    prefix: str
+    service: str
+    methods: frozenset[str]
+    idempotent: bool
+    timeout_s: float
+    silence_s: float
+    retries: int
+    max_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    """A parsed section and the digest of its text."""
+
+    name: str
+    digest: str
+    services: tuple[Service, ...]
+    routes: tuple[Route, ...]
+
+    @classmethod
+    def from_model(cls, name: str, digest: str, model: SectionModel) -> "Section":
+        """Convert a validated model; strings that recur are shared."""
+        services = tuple(_service(name, item) for item in model.services)
+        routes = tuple(_route(name, item) for item in model.routes)
+        return cls(sys.intern(name), digest, services, routes)
+
+
+def _service(section: str, model) -> Service:
+    upstreams = tuple(
+        Upstream(sys.intern(item.name), sys.intern(item.zone))
+        for item in model.upstreams
+    )
+    return Service(
+        sys.intern(model.name),
+        sys.intern(section),
+        upstreams,
+        model.slots,
+        model.connections,
+        model.queue,
+        model.slow_start_s,
+    )
+
+
+def _route(section: str, model) -> Route:
+    return Route(
+        model.name,
+        sys.intern(section),
+        model.prefix,
+        sys.intern(model.service),
+        frozenset(sys.intern(method) for method in model.methods),
+        model.idempotent,
+        model.timeout_ms / 1000,
+        model.silence_ms / 1000,
+        model.retries,
+        model.max_share,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Index:
+    """Who defines what; the values are section names or the definitions."""
+
+    services: dict[str, Service] = field(default_factory=dict)
+    routes: dict[str, Route] = field(default_factory=dict)
+    paths: dict[tuple[str, str], Route] = field(default_factory=dict)
+    upstreams: dict[str, str] = field(default_factory=dict)
+    users: dict[str, int] = field(default_factory=dict)
+
+    def copy(self) -> "_Index":
+        return _Index(
+            dict(self.services),
+            dict(self.routes),
+            dict(self.paths),
+            dict(self.upstreams),
+            dict(self.users),
+        )
+
+    def remove(self, section: Section) -> None:
+        for service in section.services:
+            del self.services[service.name]
+            for upstream in service.upstreams:
+                del self.upstreams[upstream.name]
+        for route in section.routes:
+            del self.routes[route.name]
+            self.users[route.service] -= 1
+            for method in route.methods:
+                del self.paths[method, route.prefix]
+
+    def add(self, section: Section) -> Iterable[str]:
+        """Add the definitions of a section and yield what stands twice."""
+        for service in section.services:
+            if service.name in self.services:
+                yield f"service {service.name!r} is defined twice"
+            self.services[service.name] = service
+            for upstream in service.upstreams:
+                if upstream.name in self.upstreams:
+                    yield f"upstream {upstream.name!r} is listed twice"
+                self.upstreams[upstream.name] = service.name
+        for route in section.routes:
+            yield from self._add_route(route)
+
+    def _add_route(self, route: Route) -> Iterable[str]:
+        if route.name in self.routes:
+            yield f"route {route.name!r} is defined twice"
+        self.routes[route.name] = route
+        self.users[route.service] = self.users.get(route.service, 0) + 1
+        for method in sorted(route.methods):
+            if (method, route.prefix) in self.paths:
+                yield f"routes for {method} {route.prefix} are defined twice"
+            self.paths[method, route.prefix] = route
+
+    def dangling(self) -> Iterable[str]:
+        """Yield the routes that name a service that is not there."""
+        missing = {
+            name
+            for name, count in self.users.items()
+            if count and name not in self.services
+        }
+        if not missing:
+            return
+        for route in self.routes.values():
+            if route.service in missing:
+                yield (
+                    f"section {route.section!r}: route {route.name!r}: "
+                    f"service {route.service!r} does not exist"
+                )
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Everything that one version says, immutable.
+
+    :param version: number of the version.
+    :param digest: digest of its manifest.
+    """
+
+    version: int
+    digest: str
+    manifest: Manifest
+    sections: Mapping[str, Section]
+    _index: _Index
+
+    @property
+    def services(self) -> Mapping[str, Service]:
+        """Return the services by name."""
+        return self._index.services
+
+    @property
+    def routes(self) -> Mapping[str, Route]:
+        """Return the routes by name."""
+        return self._index.routes
+
+    def service_of_upstream(self, upstream: str) -> Service | None:
+        """Return the service that lists an upstream."""
+        name = self._index.upstreams.get(upstream)
+        return self._index.services.get(name) if name else None
+
+    def match(self, method: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of whole segments of ``path``."""
+        paths = self._index.paths
+        prefix = path if path == "/" else path.rstrip("/")
+        while prefix:
+            route = paths.get((method, prefix))
+            if route is not None:
+                return route
+            prefix = prefix.rpartition("/")[0]
+        return paths.get((method, "/"))
+
+    def allowed_methods(self, path: str) -> list[str]:
+        """Return the methods with which ``path`` has a route."""
+        methods = {method for method, _ in self._index.paths}
+        return sorted(method for method in methods if self.match(method, path))
+
+
+def build_snapshot(
+    manifest: Manifest,
+    sections: Mapping[str, Section],
+    base: Snapshot | None = None,
+) -> Result[Snapshot, str]:
+    """Check a version across its sections and build its snapshot.
+
+    Only the sections that differ from ``base`` are checked anew; the verdict and its
+    reasons are those of a check of everything, since a problem found in this way is
+    looked up again by a full check.
+
+    :param manifest: manifest of the version.
+    :param sections: every section that the manifest names, parsed.
+    :param base: valid snapshot to start from, ``None`` for a full check.
+    :returns: the snapshot, or the reasons in one line.
+    """
+    index, removed, added = _start(sections, base)
+    for section in removed:
+        index.remove(section)
+    problems = [problem for section in added for problem in index.add(section)]
+    problems.extend(index.dangling())
+    if problems and base is not None:
+        return build_snapshot(manifest, sections, None)
+    if problems:
+        shown = sorted(set(problems))
+        more = f" (+{len(shown) - MAX_REASONS} more)" * (len(shown) > MAX_REASONS)
+        return Error("; ".join(shown[:MAX_REASONS]) + more)
+    digest = content_digest(encode_manifest(manifest))
+    return Ok(Snapshot(manifest.version, digest, manifest, sections, index))
+
+
+def _start(sections, base):
+    if base is None:
+        added = [sections[name] for name in sorted(sections)]
+        return _Index(), [], added
+    old = base.sections
+    removed = [
+        section for name, section in old.items() if sections.get(name) is not section
+    ]
+    added = [
+        section for name, section in sections.items() if old.get(name) is not section
+    ]
+    return base._index.copy(), removed, added
--- /dev/null
+++ b/ragwortferry/kernel.py
@@ -0,0 +1,93 @@
+"""Micro-kernel: services that find each other by name."""
+
+__all__ = ["Kernel", "Service"]
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Protocol, TypeVar
+
+from ragwortferry.exceptions import InvariantError
+from ragwortferry.logs import Log
+
+T = TypeVar("T")
+
+
+class Service(Protocol):
+    """A part with a life cycle."""
+
+    async def start(self) -> None:
+        """Acquire resources and start tasks."""
+
+    async def stop(self) -> None:
+        """End tasks and release resources."""
+
+
+class Kernel:
+    """Holds the services of one process, starts them in order and stops them.
+
+    :param log: log of the kernel itself.
+    """
+
+    def __init__(self, log: Log):
+        self._log = log
+        self._services: dict[str, Service] = {}
+        self._started: list[str] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._failed = asyncio.Event()
+
+    @property
+    def failed(self) -> asyncio.Event:
+        """Return the event that is set when a background task breaks an invariant."""
+        return self._failed
+
+    def add(self, name: str, service: T) -> T:
+        """Register a service under a name and return it."""
+        if name in self._services:
+            raise ValueError(f"service {name!r} is registered twice")
+        self._services[name] = service
+        return service
+
+    def get(self, name: str) -> Any:
+        """Return the service called ``name``.
+
+        :raises KeyError: if there is none.
+        """
+        return self._services[name]
+
+    def spawn(self, coroutine: Coroutine, name: str) -> asyncio.Task:
+        """Run a background task that ends with the process and report its failure."""
+        task = asyncio.get_running_loop().create_task(coroutine, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
+
+    def _task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self._log.error("background task failed", task=task.get_name(), reason=error)
+        if isinstance(error, InvariantError):
+            self._failed.set()
+
+    def fail(self, error: InvariantError) -> None:
+        """End the process because a state was reached that the design rules out."""
+        self._log.error("invariant broken", reason=error)
+        self._failed.set()
+
+    async def start(self) -> None:
+        """Start all services in the order in which they were added."""
+        for name, service in self._services.items():
+            if hasattr(service, "start"):
+                await service.start()
+                self._started.append(name)
+
+    async def stop(self) -> None:
+        """Stop the started services in reverse order, then the tasks that are left."""
+        for name in reversed(self._started):
+            await self._services[name].stop()
+        self._started.clear()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/ragwortferry/logs.py
@@ -0,0 +1,76 @@
+"""Structured logs by eliot: short sentences with a fixed prefix for each part."""
+
+__all__ = ["Log", "LogContext", "open_log"]
+
+import sys
+from typing import Any, TextIO
+
+import eliot
+
+from ragwortferry.utils.clock import HybridClock
+
+
+class LogContext:
+    """What every line of a process carries.
+
+    :param instance: name of this instance.
+    :param zone: availability zone.
+    :param clock: hybrid clock that stamps the events.
+    """
+
+    def __init__(self, instance: str, zone: str, clock: HybridClock):
+        self.instance = instance
+        self.zone = zone
+        self.clock = clock
+
+
+class Log:
+    """Log of one part of the process.
+
+    :param context: fields of every line.
+    :param part: prefix of every sentence, such as ``"spread"``.
+    """
+
+    def __init__(self, context: LogContext, part: str):
+        self._context = context
+        self._part = part
+
+    def part(self, name: str) -> "Log":
+        """Return the log of another part of the same process."""
+        return Log(self._context, name)
+
+    def event(self, event: str, sentence: str, **fields: Any) -> None:
+        """Write one event of the time line.
+
+        :param event: type of the event, such as ``"enforced"``.
+        :param sentence: short sentence for the reader.
+        :param fields: JSON values.
+        """
+        eliot.log_message(
+            message_type=event,
+            message=f"{self._part}: {sentence}",
+            instance=self._context.instance,
+            zone=self._context.zone,
+            hlc=self._context.clock.tick(),
+            **fields,
+        )
+
+    def info(self, sentence: str, **fields: Any) -> None:
+        """Write a note."""
+        self.event("note", sentence, **fields)
+
+    def error(self, sentence: str, reason: object, **fields: Any) -> None:
+        """Write a failure with its reason."""
+        text = f"{type(reason).__name__}: {reason}" if reason else "unknown"
+        self.event("error", sentence, reason=text, **fields)
+
+
+def open_log(path: str) -> TextIO:
+    """Send the log lines of this process to a file.
+
+    :param path: file to append to, ``"-"`` for standard error.
+    :raises OSError: if the file cannot be opened.
+    """
+    stream = sys.stderr if path == "-" else open(path, "a", buffering=1)
+    eliot.to_file(stream)
+    return stream
--- /dev/null
+++ b/ragwortferry/record/__init__.py
@@ -0,0 +1,1 @@
+"""Answers for support engineers and operators."""
--- /dev/null
+++ b/ragwortferry/record/explain.py
@@ -0,0 +1,219 @@
+"""Answers from logs alone which configuration governed a request."""
+
+__all__ = ["Explanation", "Hop", "explain_request", "run_explain"]
+
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct
+
+from ragwortferry.record.lines import LogLine, read_lines
+from ragwortferry.utils.clock import format_timestamp
+from ragwortferry.utils.digests import content_digest
+
+EXIT_FOUND = 0
+EXIT_NOT_FOUND = 2
+NOT_RUN, RAN, UNKNOWN = "not-run", "ran", "unknown"
+
+
+class Hop(Struct):
+    """One log line about the request: an entry or an owner proxy."""
+
+    hop: str
+    at: str
+    instance: str
+    zone: str
+    version: int
+    digest: str
+    section: str
+    route: str
+    status: int
+    outcome: str
+    error: str
+    complete: bool
+    attempts: list[dict]
+
+
+class Explanation(Struct):
+    """Everything that the logs say about a request.
+
+    :param ran: ``ran``, ``not-run``, ``unknown``, or ``contradicting``.
+    :param remarks: what is missing, stands twice or contradicts.
+    """
+
+    request_id: str
+    found: bool
+    ran: str
+    hops: list[Hop]
+    remarks: list[str]
+    section_text: str = ""
+
+
+def explain_request(request_id: str, lines: Iterable[LogLine]) -> Explanation:
+    """Put the lines about a request together; what is not there is never guessed.
+
+    :param lines: log lines of any processes in any order.
+    """
+    mine = [line for line in lines if _is_about(line, request_id)]
+    mine.sort(key=lambda line: line.get("hlc", 0))
+    unique = {(line.get("task_uuid"), line.get("hlc")): line for line in mine}
+    remarks = []
+    if len(unique) < len(mine):
+        remarks.append(f"{len(mine) - len(unique)} lines stand twice in the logs")
+    hops = [_hop(line) for line in unique.values()]
+    remarks += _missing(hops)
+    ran, contradictions = _verdict(hops)
+    remarks += contradictions
+    return Explanation(request_id, bool(hops), ran, hops, remarks)
+
+
+def _is_about(line: LogLine, request_id: str) -> bool:
+    wanted = line.get("message_type") == "request"
+    return wanted and line.get("request_id") == request_id
+
+
+def _hop(line: LogLine) -> Hop:
+    return Hop(
+        hop=line.get("hop", "?"),
+        at=format_timestamp(line.get("hlc", 0)),
+        instance=line.get("instance", "?"),
+        zone=line.get("zone", "?"),
+        version=line.get("version", 0),
+        digest=line.get("digest", ""),
+        section=line.get("section", ""),
+        route=line.get("route", ""),
+        status=line.get("status", 0),
+        outcome=line.get("outcome", UNKNOWN),
+        error=line.get("error", ""),
+        complete=line.get("complete", False),
+        attempts=line.get("attempts", []),
+    )
+
+
+def _missing(hops: list[Hop]) -> list[str]:
+    """Return remarks on lines that other lines prove must exist."""
+    entries = [hop for hop in hops if hop.hop == "entry"]
+    owners = [hop for hop in hops if hop.hop == "owner"]
+    logged = {attempt["key"] for hop in owners for attempt in hop.attempts}
+    sent = {attempt["key"]: hop for hop in entries for attempt in hop.attempts}
+    remarks = []
+    for key, hop in sent.items():
+        attempt = next(item for item in hop.attempts if item["key"] == key)
+        remote = attempt["upstream"] != hop.instance
+        if remote and key not in logged and attempt["outcome"] != NOT_RUN:
+            remarks.append(
+                f"the line of {attempt['upstream']} for attempt {key} is missing"
+            )
+    for hop in owners:
+        orphans = [item["key"] for item in hop.attempts if item["key"] not in sent]
+        for key in orphans:
+            remarks.append(
+                f"the entry line for attempt {key} at {hop.instance} is missing"
+            )
+    return remarks
+
+
+def _verdict(hops: list[Hop]) -> tuple[str, list[str]]:
+    """Return whether the request ran, and remarks on contradictions."""
+    outcomes: dict[str, dict[str, str]] = {}
+    for hop in hops:
+        for attempt in hop.attempts:
+            by_hop = outcomes.setdefault(attempt["key"], {})
+            by_hop[hop.hop] = attempt["outcome"]
+    remarks, final = [], set()
+    for key, by_hop in outcomes.items():
+        known = set(by_hop.values()) - {UNKNOWN}
+        if len(known) > 1:
+            remarks.append(f"attempt {key}: hops contradict each other: {by_hop}")
+            final.add("contradicting")
+        else:
+            final.add(known.pop() if known else UNKNOWN)
+    versions = {(hop.version, hop.digest) for hop in hops if hop.digest}
+    if len(versions) > 1:
+        named = sorted(version for version, _ in versions)
+        remarks.append(f"more than one version governed requests of this id: {named}")
+    if not outcomes:
+        return (NOT_RUN if hops else UNKNOWN), remarks
+    for verdict in ("contradicting", RAN, UNKNOWN):
+        if verdict in final:
+            return verdict, remarks
+    return NOT_RUN, remarks
+
+
+def _section_text(explanation: Explanation, folder: Path) -> None:
+    """Add the text of the governing section, if its digest is that of the version."""
+    hop = next((hop for hop in explanation.hops if hop.section), None)
+    if hop is None:
+        return
+    manifest = _manifest_with(folder, hop.digest)
+    if manifest is None:
+        explanation.remarks.append(f"{folder}: no manifest with digest {hop.digest}")
+        return
+    wanted = manifest["sections"].get(hop.section, "")
+    for path in sorted(folder.rglob("*.toml")):
+        text = path.read_bytes()
+        if content_digest(text) == wanted:
+            explanation.section_text = text.decode()
+            return
+    explanation.remarks.append(
+        f"{folder}: no text of section {hop.section!r} with digest {wanted}"
+    )
+
+
+def _manifest_with(folder: Path, digest: str) -> dict | None:
+    """Return the manifest with a digest; its canonical text ends without a newline."""
+    for path in sorted(folder.rglob("*.json")):
+        data = path.read_bytes().strip()
+        if content_digest(data) == digest:
+            return msgspec.json.decode(data)
+    return None
+
+
+def run_explain(
+    request_id: str, paths: Iterable[str], document: str, as_json: bool
+) -> int:
+    """Print the explanation; return the exit code."""
+    explanation = explain_request(request_id, read_lines(paths, request_id))
+    if document:
+        _section_text(explanation, Path(document))
+    if as_json:
+        print(msgspec.json.encode(explanation).decode())
+    else:
+        print(render(explanation))
+    return EXIT_FOUND if explanation.found else EXIT_NOT_FOUND
+
+
+def render(explanation: Explanation) -> str:
+    """Return the explanation as text."""
+    if not explanation.found:
+        return f"request {explanation.request_id}: no line in these logs"
+    lines = [f"request {explanation.request_id}: {explanation.ran}"]
+    for hop in explanation.hops:
+        lines += _render_hop(hop)
+    lines += [f"  remark: {remark}" for remark in explanation.remarks]
+    if explanation.section_text:
+        lines += ["  the section that governed:", explanation.section_text]
+    return "\n".join(lines)
+
+
+def _render_hop(hop: Hop) -> list[str]:
+    governed = (
+        f"governed by version {hop.version} (digest {hop.digest[:12]}), "
+        f"section {hop.section}, route {hop.route}"
+        if hop.digest
+        else f"no route matched; version {hop.version} was in force"
+    )
+    end = "whole" if hop.complete else "cut"
+    lines = [
+        f"  {hop.at} {hop.hop} {hop.instance} ({hop.zone}): "
+        f"answered {hop.status}, {hop.outcome}, {end}",
+        f"    {governed}",
+    ]
+    for number, attempt in enumerate(hop.attempts, 1):
+        what = attempt["error"] or f"answered {attempt['status']}"
+        lines.append(
+            f"    attempt {number} at {attempt['upstream']}: {attempt['outcome']}, "
+            f"{what} after {attempt['ms']} ms"
+        )
+    return lines
--- /dev/null
+++ b/ragwortferry/record/lines.py
@@ -0,0 +1,58 @@
+"""Reads log lines from files and directories in bounded memory."""
+
+__all__ = ["LogLine", "read_lines"]
+
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+import msgspec
+
+from ragwortferry.exceptions import RagwortferryError
+
+PROGRESS_BYTES = 64 * 2**20
+
+LogLine = dict
+
+
+def read_lines(paths: Iterable[str], needle: str = "") -> Iterator[LogLine]:
+    """Yield the JSON objects of log files.
+
+    A line that is no JSON object is passed over. Progress goes to standard error if
+    that is a terminal.
+
+    :param paths: files, or directories whose files are read.
+    :param needle: text that a line must contain, tested before it is parsed.
+    :raises RagwortferryError: if a path is not there.
+    """
+    wanted = needle.encode()
+    for path in _files(paths):
+        done = 0
+        with open(path, "rb") as file:
+            for raw in file:
+                done += len(raw)
+                if done >= PROGRESS_BYTES and sys.stderr.isatty():
+                    print(f"reading {path}: {file.tell() >> 20} MB", file=sys.stderr)
+                    done = 0
+                if wanted in raw:
+                    yield from _parse(raw)
+
+
+def _files(paths: Iterable[str]) -> Iterator[Path]:
+    for name in paths:
+        path = Path(name)
+        if path.is_dir():
+            yield from sorted(item for item in path.rglob("*") if item.is_file())
+        elif path.exists():
+            yield path
+        else:
+            raise RagwortferryError(f"logs: {path} is not there")
+
+
+def _parse(raw: bytes) -> Iterator[LogLine]:
+    try:
+        line = msgspec.json.decode(raw)
+    except msgspec.DecodeError:
+        return
+    if isinstance(line, dict):
+        yield line
--- /dev/null
+++ b/ragwortferry/record/timeline.py
@@ -0,0 +1,149 @@
+"""Merges the events of all processes into one time line."""
+
+__all__ = ["Filter", "merge_events", "run_timeline"]
+
+import heapq
+import html as html_text
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from ragwortferry.record.lines import LogLine, read_lines
+from ragwortferry.utils.clock import format_timestamp
+
+MAX_EVENTS = 200_000
+LANE_PX = 190
+ROW_PX = 18
+HIDDEN = ("task_uuid", "task_level", "timestamp", "message_type", "hlc")
+
+
+@dataclass(frozen=True, slots=True)
+class Filter:
+    """Which events to show; an empty field lets everything through."""
+
+    instance: str = ""
+    zone: str = ""
+    version: int = 0
+    request: str = ""
+    since: str = ""
+    until: str = ""
+
+    def matches(self, line: LogLine) -> bool:
+        """Return whether an event is wanted."""
+        moment = format_timestamp(line["hlc"])
+        return (
+            self.instance in ("", line.get("instance"))
+            and self.zone in ("", line.get("zone"))
+            and self.version in (0, line.get("version"))
+            and self.request in ("", line.get("request_id"))
+            and moment >= self.since
+            and (not self.until or moment < self.until)
+        )
+
+
+def merge_events(lines: Iterable[LogLine], wanted: Filter) -> Iterator[LogLine]:
+    """Yield the events in the order of their hybrid timestamps.
+
+    At most ``MAX_EVENTS`` are held; of more, the latest are kept.
+    """
+    heap: list[tuple[int, str, int, LogLine]] = []
+    for number, line in enumerate(lines):
+        if not isinstance(line.get("hlc"), int) or not wanted.matches(line):
+            continue
+        item = (line["hlc"], str(line.get("instance", "")), number, line)
+        if len(heap) < MAX_EVENTS:
+            heapq.heappush(heap, item)
+        else:
+            heapq.heappushpop(heap, item)
+    while heap:
+        yield heapq.heappop(heap)[3]
+
+
+def run_timeline(paths: Iterable[str], wanted: Filter, html: str) -> int:
+    """Print the events or write the page; return the exit code."""
+    events = merge_events(read_lines(paths, wanted.request), wanted)
+    if html:
+        Path(html).write_text(render_page(list(events)))
+        print(f"timeline: {html} written")
+        return 0
+    for event in events:
+        print(render_line(event))
+    return 0
+
+
+def render_line(event: LogLine) -> str:
+    """Return one event as text."""
+    return (
+        f"{format_timestamp(event['hlc'])} {event.get('instance', '?'):<16} "
+        f"{event.get('message', '')} {_details(event)}".rstrip()
+    )
+
+
+def _details(event: LogLine) -> str:
+    shown = {
+        name: value
+        for name, value in event.items()
+        if name not in (*HIDDEN, "instance", "zone", "message", "settings", "attempts")
+    }
+    return " ".join(f"{name}={value}" for name, value in shown.items() if value != "")
+
+
+def render_page(events: list[LogLine]) -> str:
+    """Return a self-contained HTML page with one lane for each process."""
+    lanes = sorted({(e.get("zone", "?"), e.get("instance", "?")) for e in events})
+    places = {instance: at for at, (_, instance) in enumerate(lanes)}
+    heads = "".join(
+        f'<div class="head" style="left:{_left(at)}px">'
+        f"{_escape(instance)}<small>{_escape(zone)}</small></div>"
+        for at, (zone, instance) in enumerate(lanes)
+    )
+    rows = "".join(
+        _render_event(row, event, places[event.get("instance", "?")])
+        for row, event in enumerate(events)
+    )
+    width, height = _left(len(lanes)), ROW_PX * (len(events) + 4)
+    return _PAGE.format(width=width, height=height, heads=heads, rows=rows)
+
+
+def _left(lane: int) -> int:
+    return 210 + lane * LANE_PX
+
+
+def _render_event(row: int, event: LogLine, lane: int) -> str:
+    kind = _escape(event.get("message_type", "note"))
+    text = _escape(event.get("message", ""))
+    details = _escape(_details(event))
+    top = ROW_PX * row
+    moment = _escape(format_timestamp(event["hlc"])[11:])
+    return (
+        f'<div class="time" style="top:{top}px">{moment}</div>'
+        f'<div class="event {kind}" style="top:{top}px;left:{_left(lane)}px" '
+        f'title="{text} {details}">{text}</div>'
+    )
+
+
+def _escape(value: object) -> str:
+    return html_text.escape(str(value), quote=True)
+
+
+_PAGE = """<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>Time line</title><style>
+body {{ font: 12px/16px system-ui, sans-serif; margin: 0; background: #fff; }}
+.heads {{ position: sticky; top: 0; height: 40px; background: #eef; z-index: 2;
+  width: {width}px; border-bottom: 1px solid #99a; }}
+.head {{ position: absolute; top: 4px; width: 180px; font-weight: 600; }}
+.head small {{ display: block; font-weight: 400; color: #556; }}
+.lanes {{ position: relative; height: {height}px; width: {width}px; }}
+.time {{ position: absolute; left: 8px; color: #556;
+  font-family: ui-monospace, monospace; }}
+.event {{ position: absolute; width: 178px; height: 16px; overflow: hidden;
+  white-space: nowrap; text-overflow: ellipsis; padding-left: 4px;
+  border-left: 3px solid #889; background: #f5f5f8; }}
+.enforced {{ border-color: #197b30; background: #e4f6e6; }}
+.refused, .error, .conflict, .stale {{ border-color: #b3261e; background: #fbe6e4; }}
+.link-down, .leaving {{ border-color: #b26a00; background: #fdf1dd; }}
+.request {{ border-color: #2456a6; background: #e6eefb; }}
+</style></head><body>
+<div class="heads">{heads}</div><div class="lanes">{rows}</div>
+</body></html>
+"""
--- /dev/null
+++ b/ragwortferry/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request: entry proxy, owner proxy, target."""
--- /dev/null
+++ b/ragwortferry/requests/headers.py
@@ -0,0 +1,126 @@
+"""Header names, and the checks and copies of headers on the way."""
+
+__all__ = [
+    "ATTEMPT",
+    "CLOCK",
+    "DIGEST",
+    "ERROR",
+    "INSTANCE",
+    "OUTCOME",
+    "POLICY",
+    "REQUEST_ID",
+    "SECTION",
+    "TARGET_LEAVING",
+    "TARGET_REFUSED",
+    "TIMEOUT_MS",
+    "UPSTREAM",
+    "VERSION",
+    "ZONE",
+    "check_headers",
+    "end_to_end",
+    "request_id_of",
+    "timeout_of",
+]
+
+import re
+import uuid
+from collections.abc import Mapping
+
+from multidict import CIMultiDict
+
+from ragwortferry.exceptions import ErrorKind, RequestError
+
+# Between callers and proxies, and between proxies and targets.
+REQUEST_ID = "X-Request-Id"
+TIMEOUT_MS = "X-Request-Timeout-Ms"
+
+# On every answer.
+VERSION = "X-Ragwortferry-Version"
+DIGEST = "X-Ragwortferry-Digest"
+SECTION = "X-Ragwortferry-Section"
+INSTANCE = "X-Ragwortferry-Instance"
+ZONE = "X-Ragwortferry-Zone"
+OUTCOME = "X-Ragwortferry-Outcome"
+ERROR = "X-Ragwortferry-Error"
+
+# Between entry and owner proxies.
+ATTEMPT = "X-Ragwortferry-Attempt"
+UPSTREAM = "X-Ragwortferry-Upstream"
+POLICY = "X-Ragwortferry-Policy"
+CLOCK = "X-Ragwortferry-Clock"
+
+# From a target to its owner proxy.
+TARGET_REFUSED = "X-Target-Refused"
+TARGET_LEAVING = "X-Target-Leaving"
+
+MAX_HEADER_BYTES = 16_384
+MAX_TIMEOUT_MS = 3_600_000
+
+_REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
+_INTERNAL = "x-ragwortferry-"
+_TARGET_ONLY = frozenset((TARGET_REFUSED.lower(), TARGET_LEAVING.lower()))
+
+
+def end_to_end(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Return a copy without the headers of a single hop and of the system itself."""
+    listed = headers.get("Connection", "").lower()
+    named = {name.strip() for name in listed.split(",")} if listed else ()
+    copy: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        lower = name.lower()
+        if lower in _HOP_BY_HOP or lower in named or lower in _TARGET_ONLY:
+            continue
+        if not lower.startswith(_INTERNAL):
+            copy.add(name, value)
+    return copy
+
+
+def check_headers(headers: Mapping[str, str]) -> None:
+    """Refuse a request whose headers are too large together.
+
+    :raises RequestError: of kind ``HEADER_TOO_LARGE``.
+    """
+    size = sum(len(name) + len(value) for name, value in headers.items())
+    if size > MAX_HEADER_BYTES:
+        detail = f"headers of {size} bytes, at most {MAX_HEADER_BYTES}"
+        raise RequestError(ErrorKind.HEADER_TOO_LARGE, detail)
+
+
+def request_id_of(headers: Mapping[str, str]) -> str:
+    """Return the caller's request id, or a new one.
+
+    :raises RequestError: of kind ``BAD_REQUEST`` if the caller's is malformed.
+    """
+    given = headers.get(REQUEST_ID)
+    if given is None:
+        return uuid.uuid4().hex
+    if not _REQUEST_ID_PATTERN.fullmatch(given):
+        raise RequestError(ErrorKind.BAD_REQUEST, f"malformed {REQUEST_ID}")
+    return given
+
+
+def timeout_of(headers: Mapping[str, str], default_s: float) -> float:
+    """Return the seconds until the deadline: the route's, or the caller's if less.
+
+    :raises RequestError: of kind ``BAD_REQUEST`` if the caller's is malformed.
+    """
+    given = headers.get(TIMEOUT_MS)
+    if given is None:
+        return default_s
+    if not given.isascii() or not given.isdigit() or int(given) > MAX_TIMEOUT_MS:
+        raise RequestError(ErrorKind.BAD_REQUEST, f"malformed {TIMEOUT_MS}")
+    return min(default_s, int(given) / 1000)
--- /dev/null
+++ b/ragwortferry/requests/owner.py
@@ -0,0 +1,196 @@
+"""The owner proxy: it alone talks to the target of its instance."""
+
+__all__ = ["Owner"]
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from ragwortferry.exceptions import (
+    ErrorKind,
+    InvariantError,
+    Outcome,
+    RequestError,
+)
+from ragwortferry.kernel import Kernel
+from ragwortferry.logs import Log
+from ragwortferry.requests.answers import error_response, relay, stamp
+from ragwortferry.requests.attempts import Attempts
+from ragwortferry.requests.drain import Drain
+from ragwortferry.requests.exchange import Attempt, Body, Policy, TargetReply
+from ragwortferry.requests.headers import (
+    ATTEMPT,
+    CLOCK,
+    POLICY,
+    REQUEST_ID,
+    TIMEOUT_MS,
+    UPSTREAM,
+    end_to_end,
+)
+from ragwortferry.requests.record import AttemptRecord, RequestRecord
+from ragwortferry.requests.server import HttpServer
+from ragwortferry.requests.target import Target
+from ragwortferry.spread.members import Members
+from ragwortferry.spread.store import VersionStore
+from ragwortferry.utils.clock import HybridClock
+
+AdminHandler = Callable[[web.BaseRequest], Awaitable[web.Response]]
+
+
+class Owner:
+    """Serves attempts of other proxies and the requests of operators.
+
+    :param admin: answers what is not an attempt.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        members: Members,
+        store: VersionStore,
+        target: Target,
+        drain: Drain,
+        clock: HybridClock,
+        log: Log,
+        port: int,
+        admin: AdminHandler,
+    ):
+        self._kernel = kernel
+        self._members = members
+        self._store = store
+        self._target = target
+        self._drain = drain
+        self._clock = clock
+        self._log = log
+        self._admin = admin
+        self._attempts = Attempts()
+        self._server = HttpServer(self._handle, members.me.host, port)
+
+    @property
+    def attempts(self) -> Attempts:
+        """Return the attempts seen lately."""
+        return self._attempts
+
+    async def start(self) -> None:
+        """Take over the limits of the document and listen."""
+        self._store.listen(self._configure)
+        self._configure()
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Stop listening and close the connections to the target."""
+        await self._server.stop()
+        await self._target.close()
+
+    def _configure(self) -> None:
+        snapshot = self._store.snapshot
+        service = snapshot and snapshot.service_of_upstream(self._members.me.id)
+        if service:
+            self._target.configure(
+                service.slots, service.connections, service.queue, service.slow_start_s
+            )
+
+    async def open(self, attempt: Attempt) -> TargetReply:
+        """Run an attempt at the target.
+
+        :raises RequestError: with an outcome that says whether it ran.
+        """
+        self._refuse_if_leaving()
+        self._attempts.arrive(attempt.key)
+        return await self._target.send(attempt, lambda: self._begin(attempt))
+
+    def _refuse_if_leaving(self) -> None:
+        if self._target.leaving:
+            self._drain.leave("the target says so")
+        if self._drain.leaving:
+            raise RequestError(ErrorKind.LEAVING, "the instance is leaving")
+
+    def _begin(self, attempt: Attempt) -> None:
+        self._refuse_if_leaving()
+        self._attempts.begin(attempt.key)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if ATTEMPT not in request.headers:
+            return await self._admin(request)
+        with self._drain.in_flight:
+            return await self._serve(request)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        record = RequestRecord("owner", own_version=self._store.mark.version)
+        answer = web.Response()
+        try:
+            attempt = await self._read(request, record)
+            reply = await self._open_recorded(attempt, record)
+            headers = self._headers(attempt.request_id, attempt.policy)
+            relayed = await relay(request, reply, headers)
+            record.note_relayed(reply.status, relayed)
+        except RequestError as error:
+            record.note_error(error)
+            answer = error_response(error)
+            answer.headers.update(self._headers(record.request_id, record.policy))
+        except asyncio.CancelledError:
+            record.detail = "the caller went away"
+            raise
+        except Exception as error:
+            answer = self._internal(error, record)
+        finally:
+            record.write(self._log)
+        return answer
+
+    async def _open_recorded(self, attempt: Attempt, record) -> TargetReply:
+        entry = AttemptRecord(attempt.key, self._members.me.id)
+        record.attempts.append(entry)
+        try:
+            reply = await self.open(attempt)
+        except RequestError as error:
+            entry.note_error(error)
+            raise
+        finally:
+            entry.note_end()
+        entry.outcome, entry.status = str(Outcome.RAN), reply.status
+        return reply
+
+    def _internal(self, error: Exception, record: RequestRecord) -> web.Response:
+        """Answer for an error of the program itself."""
+        self._log.error("request failed", error, request_id=record.request_id)
+        if isinstance(error, InvariantError):
+            self._kernel.fail(error)
+        failure = RequestError(ErrorKind.INTERNAL, type(error).__name__)
+        record.note_error(failure)
+        return error_response(failure)
+
+    def _headers(self, request_id: str, policy: Policy | None) -> dict[str, str]:
+        headers: dict[str, str] = {CLOCK: str(self._clock.tick())}
+        me = self._members.me
+        stamp(headers, request_id, me.id, me.zone, policy)
+        return headers
+
+    async def _read(self, request: web.BaseRequest, record: RequestRecord) -> Attempt:
+        """Return the attempt that a request of another proxy carries."""
+        headers = request.headers
+        record.request_id = headers.get(REQUEST_ID, "")
+        record.method, record.path = request.method, request.path_qs
+        try:
+            policy = msgspec.json.decode(headers[POLICY], type=Policy)
+            left = int(headers[TIMEOUT_MS]) / 1000
+            self._clock.observe(int(headers[CLOCK]))
+        except (KeyError, ValueError) as error:
+            raise RequestError(ErrorKind.BAD_REQUEST, f"attempt: {error}") from None
+        record.policy = policy
+        if headers.get(UPSTREAM) != self._members.me.id:
+            detail = f"this is {self._members.me.id}"
+            raise RequestError(ErrorKind.NOT_OWNER, detail)
+        deadline = asyncio.get_running_loop().time() + left
+        body = await Body.read(request.content)
+        return Attempt(
+            headers[ATTEMPT],
+            record.request_id,
+            request.method,
+            str(request.rel_url),
+            end_to_end(headers),
+            body,
+            policy,
+            deadline,
+        )
--- /dev/null
+++ b/ragwortferry/requests/pool.py
@@ -0,0 +1,106 @@
+"""Pools of client connections that can be replaced while some are in use."""
+
+__all__ = ["Pool", "PooledResponse"]
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+
+IDLE_BOUND_S = 10.0
+
+
+@dataclass(slots=True, eq=False)
+class _Generation:
+    """The connections opened between two replacements."""
+
+    session: aiohttp.ClientSession
+    in_use: int = 0
+    retired: bool = False
+    closing: asyncio.Task | None = None
+
+    def close_if_unused(self) -> None:
+        if self.retired and not self.in_use and self.closing is None:
+            loop = asyncio.get_running_loop()
+            self.closing = loop.create_task(self.session.close())
+
+
+class PooledResponse:
+    """A response and the generation of connections that it came over."""
+
+    def __init__(self, response: aiohttp.ClientResponse, generation: _Generation):
+        self._generation: _Generation | None = generation
+        self.response = response
+
+    def close(self, complete: bool) -> None:
+        """Keep the connection after a whole answer, drop it after a broken one."""
+        generation, self._generation = self._generation, None
+        if generation is None:
+            return
+        if complete:
+            self.response.release()
+        else:
+            self.response.close()
+        generation.in_use -= 1
+        generation.close_if_unused()
+
+
+class Pool:
+    """Connections of one kind.
+
+    :param host: own IP number, from which connections are made.
+    :param limit: connections at most, 0 for no bound.
+    :param single: whether each request gets a new connection.
+    """
+
+    def __init__(self, host: str, limit: int = 0, single: bool = False):
+        self._local_address = (host, 0)
+        self._limit = limit
+        self._single = single
+        self._current = self._new_generation()
+
+    def _new_generation(self) -> _Generation:
+        options = {"limit": self._limit, "local_addr": self._local_address}
+        if self._single:
+            connector = aiohttp.TCPConnector(force_close=True, **options)
+        else:
+            connector = aiohttp.TCPConnector(keepalive_timeout=IDLE_BOUND_S, **options)
+        session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=(
+                "User-Agent",
+                "Content-Type",
+                "Accept",
+                "Accept-Encoding",
+            ),
+        )
+        return _Generation(session)
+
+    def renew(self) -> None:
+        """Use new connections from now on; those in use end with their requests."""
+        old, self._current = self._current, self._new_generation()
+        old.retired = True
+        old.close_if_unused()
+
+    async def request(self, method: str, url, **options) -> PooledResponse:
+        """Send a request and return its response once the headers have come.
+
+        :raises aiohttp.ClientError: if it fails.
+        """
+        generation = self._current
+        generation.in_use += 1
+        try:
+            response = await generation.session.request(
+                method, url, allow_redirects=False, **options
+            )
+        except BaseException:
+            generation.in_use -= 1
+            generation.close_if_unused()
+            raise
+        return PooledResponse(response, generation)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._current.session.close()
--- /dev/null
+++ b/ragwortferry/requests/remote.py
@@ -0,0 +1,167 @@
+"""Attempts at upstreams whose owner proxy is another process."""
+
+__all__ = ["RemoteOwners"]
+
+import asyncio
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from ragwortferry.exceptions import ErrorKind, Outcome, RequestError
+from ragwortferry.requests.attempts import AttemptState
+from ragwortferry.requests.exchange import Attempt, TargetReply
+from ragwortferry.requests.headers import (
+    ATTEMPT,
+    CLOCK,
+    ERROR,
+    OUTCOME,
+    POLICY,
+    REQUEST_ID,
+    TIMEOUT_MS,
+    UPSTREAM,
+)
+from ragwortferry.requests.pool import Pool, PooledResponse
+from ragwortferry.source.port import Instance
+from ragwortferry.utils.clock import HybridClock
+
+CONNECT_TIMEOUT_S = 0.5
+FENCE_TIMEOUT_S = 1.0
+CHECK_SHARE = 0.25
+FENCE_PATH = "/-/fence"
+
+
+class RemoteOwners:
+    """Sends attempts to other owner proxies and finds out what became of lost ones."""
+
+    def __init__(self, clock: HybridClock, host: str):
+        self._host = host
+        self._clock = clock
+        self._pools: dict[str, Pool] = {}
+        self._fences = Pool(host, single=True)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for pool in (*self._pools.values(), self._fences):
+            await pool.close()
+
+    def _pool(self, zone: str) -> Pool:
+        if zone not in self._pools:
+            self._pools[zone] = Pool(self._host)
+        return self._pools[zone]
+
+    async def send(self, owner: Instance, attempt: Attempt) -> TargetReply:
+        """Run an attempt and return its answer.
+
+        An attempt without an answer after a share of its time is looked for over a new
+        connection. If the owner has not seen it, the old connection is silent: the
+        attempt is fenced, the pool of that zone replaced and the request tried anew.
+
+        :raises RequestError: with an outcome that says whether the attempt ran.
+        """
+        call = asyncio.ensure_future(self._call(owner, attempt))
+        loop = asyncio.get_running_loop()
+        left = attempt.deadline - loop.time()
+        try:
+            done, _ = await asyncio.wait((call,), timeout=left * CHECK_SHARE)
+            if not done:
+                await self._check_arrival(owner, attempt, call)
+            async with asyncio.timeout_at(attempt.deadline):
+                pooled = await asyncio.shield(call)
+        except TimeoutError:
+            raise await self._lost(owner, attempt, call, ErrorKind.DEADLINE) from None
+        except (aiohttp.ClientError, OSError) as error:
+            raise await self._failure(owner, attempt, call, error) from None
+        except BaseException:
+            _drop(call)
+            raise
+        return self._reply(pooled)
+
+    async def _call(self, owner: Instance, attempt: Attempt) -> PooledResponse:
+        left = attempt.deadline - asyncio.get_running_loop().time()
+        if left <= 0:
+            raise RequestError(ErrorKind.DEADLINE_BEFORE_RUN, "the deadline has passed")
+        headers = attempt.headers.copy()
+        headers[REQUEST_ID] = attempt.request_id
+        headers[TIMEOUT_MS] = str(int(left * 1000))
+        headers[ATTEMPT] = attempt.key
+        headers[UPSTREAM] = owner.id
+        headers[POLICY] = msgspec.json.encode(attempt.policy).decode()
+        headers[CLOCK] = str(self._clock.tick())
+        base = f"http://{owner.host}:{owner.owner_port}"
+        return await self._pool(owner.zone).request(
+            attempt.method,
+            URL(base + attempt.path, encoded=True),
+            headers=headers,
+            data=attempt.body.data(),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                sock_connect=min(CONNECT_TIMEOUT_S, left),
+                sock_read=attempt.policy.silence_s,
+            ),
+        )
+
+    async def _check_arrival(self, owner, attempt: Attempt, call) -> None:
+        """Give the attempt up if its owner is reachable and has not seen it."""
+        state = await self._fence(owner, attempt, drop_queued=False)
+        if state is AttemptState.FENCED and not call.done():
+            self._pool(owner.zone).renew()
+            raise RequestError(ErrorKind.FENCED, "the connection is silent")
+
+    async def _fence(
+        self, owner: Instance, attempt: Attempt, drop_queued: bool
+    ) -> AttemptState | None:
+        """Ask the owner to fence an attempt; ``None`` if it does not answer."""
+        url = f"http://{owner.host}:{owner.owner_port}{FENCE_PATH}"
+        params = {"key": attempt.key, "drop": str(int(drop_queued)), "at": owner.id}
+        try:
+            async with asyncio.timeout(FENCE_TIMEOUT_S):
+                pooled = await self._fences.request("POST", url, params=params)
+                try:
+                    text = await pooled.response.text()
+                finally:
+                    pooled.close(complete=True)
+            return AttemptState(text)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
+
+    async def _failure(self, owner, attempt, call, error) -> RequestError:
+        text = f"{type(error).__name__}: {error}"
+        unsent = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+        if isinstance(error, unsent):
+            return RequestError(ErrorKind.CONNECT_FAILED, text)
+        silent = isinstance(error, TimeoutError)
+        kind = ErrorKind.UPSTREAM_SILENT if silent else ErrorKind.UPSTREAM_LOST
+        return await self._lost(owner, attempt, call, kind, text)
+
+    async def _lost(
+        self, owner, attempt, call, kind: ErrorKind, text: str = "no answer"
+    ) -> RequestError:
+        """Return the error for an attempt without an answer, fenced if possible."""
+        _drop(call)
+        if kind is not ErrorKind.DEADLINE:
+            state = await self._fence(owner, attempt, drop_queued=True)
+            if state is AttemptState.FENCED:
+                return RequestError(ErrorKind.FENCED, f"{text}; had not begun")
+        else:
+            self._pool(owner.zone).renew()
+        return RequestError(kind, text, Outcome.UNKNOWN)
+
+    def _reply(self, pooled: PooledResponse) -> TargetReply:
+        headers = pooled.response.headers
+        self._clock.observe(int(headers.get(CLOCK, 0)))
+        kind = headers.get(ERROR)
+        if kind is None:
+            return TargetReply(pooled)
+        pooled.close(complete=False)
+        outcome = Outcome(headers.get(OUTCOME, Outcome.UNKNOWN))
+        after = headers.get("Retry-After", "")
+        retry_after = int(after) if after.isdigit() else None
+        detail = "said by the owner proxy"
+        raise RequestError(ErrorKind(kind), detail, outcome, retry_after)
+
+
+def _drop(call: asyncio.Future) -> None:
+    """Cancel a call, or drop its answer if it has come."""
+    if not call.cancel() and not call.cancelled() and call.exception() is None:
+        call.result().close(complete=False)
--- /dev/null
+++ b/ragwortferry/requests/server.py
@@ -0,0 +1,93 @@
+"""HTTP servers of the proxy, and what every handler shares."""
+
+__all__ = ["HttpServer", "InFlight"]
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from ragwortferry.exceptions import SettingsError
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+MAX_LINE_BYTES = 32_768
+MAX_FIELD_BYTES = 32_768
+BACKLOG = 1024
+SHUTDOWN_S = 1.0
+
+
+class InFlight:
+    """Counts requests in flight and lets a stopping process wait for their end."""
+
+    def __init__(self):
+        self._count = 0
+        self._empty = asyncio.Event()
+        self._empty.set()
+
+    @property
+    def count(self) -> int:
+        """Return the number of requests in flight."""
+        return self._count
+
+    def __enter__(self) -> "InFlight":
+        self._count += 1
+        self._empty.clear()
+        return self
+
+    def __exit__(self, *_exc) -> None:
+        self._count -= 1
+        if not self._count:
+            self._empty.set()
+
+    async def wait_empty(self) -> None:
+        """Wait until no request is in flight."""
+        await self._empty.wait()
+
+
+class HttpServer:
+    """One listening port.
+
+    A caller that goes away cancels its handler, and so the rest of the path.
+    """
+
+    def __init__(self, handler: Handler, host: str, port: int):
+        self._handler = handler
+        self._host = host
+        self._port = port
+        self._connections: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises SettingsError: if the port is taken.
+        """
+        server = web.Server(
+            self._handler,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+        )
+        self._connections = server
+        loop = asyncio.get_running_loop()
+        try:
+            self._listener = await loop.create_server(
+                server, self._host, self._port, backlog=BACKLOG
+            )
+        except OSError as error:
+            address = f"{self._host}:{self._port}"
+            raise SettingsError(f"cannot listen on {address}: {error}") from None
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open go on."""
+        if self._listener:
+            self._listener.close()
+
+    async def stop(self) -> None:
+        """Close the port and the connections."""
+        self.stop_listening()
+        if self._connections:
+            await self._connections.shutdown(SHUTDOWN_S)
--- /dev/null
+++ b/ragwortferry/requests/slots.py
@@ -0,0 +1,210 @@
+"""Slots of one target: limit, fair queue between routes, early refusal."""
+
+__all__ = ["Slots"]
+
+import asyncio
+import math
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ragwortferry.exceptions import ErrorKind, InvariantError, RequestError
+
+SLOW_START_SHARE = 0.25
+SHED_FACTOR = 0.8
+SHED_PAUSE_S = 0.1
+SERVICE_TIME_WEIGHT = 0.1
+MAX_RETRY_AFTER_S = 30
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    """A request waiting for a slot."""
+
+    route: str
+    share: float
+    granted: asyncio.Future
+
+
+class Slots:
+    """Grants the slots of the target of this instance to requests.
+
+    The limit starts at a share of the slots, grows with time to all of them, and
+    shrinks when the target sheds load. Of the waiting routes the one that holds the
+    fewest slots goes next, and a route never holds more than its share. A full queue
+    drops the newest request of the route that fills it most.
+
+    :param now: monotonic clock in seconds.
+    """
+
+    def __init__(self, now: Callable[[], float] = time.monotonic):
+        self._now = now
+        self._slots = 0
+        self._queue_bound = 0
+        self._ramp_s = 0.0
+        self._limit = 0.0
+        self._updated = now()
+        self._shed_at = -math.inf
+        self._held: dict[str, int] = {}
+        self._in_use = 0
+        self._waiting: dict[str, deque[_Waiter]] = {}
+        self._queued = 0
+        self._service_s = 0.0
+
+    @property
+    def in_use(self) -> int:
+        """Return the number of slots held."""
+        return self._in_use
+
+    @property
+    def queued(self) -> int:
+        """Return the number of requests waiting."""
+        return self._queued
+
+    @property
+    def limit(self) -> int:
+        """Return the number of slots that may be held now."""
+        self._grow()
+        return max(1, int(self._limit))
+
+    def configure(self, slots: int, queue: int, ramp_s: float) -> None:
+        """Take over the limits of the snapshot in force.
+
+        :param ramp_s: seconds over which the limit grows to all slots.
+        """
+        self._ramp_s = ramp_s
+        self._queue_bound = queue
+        if self._slots == 0:
+            self._limit = slots * SLOW_START_SHARE if ramp_s else slots
+        self._slots = slots
+        self._limit = min(self._limit, slots)
+        self._grant()
+
+    def restart_slowly(self) -> None:
+        """Begin the slow start anew: the target has just come up."""
+        if self._ramp_s:
+            self._limit = self._slots * SLOW_START_SHARE
+        self._updated = self._now()
+
+    def note_shed(self) -> None:
+        """Lower the limit: the target has just refused a request."""
+        now = self._now()
+        if now - self._shed_at < SHED_PAUSE_S:
+            return
+        self._shed_at = now
+        self._grow()
+        self._limit = max(1.0, min(self._limit, self._in_use + 1) * SHED_FACTOR)
+
+    def _grow(self) -> None:
+        now = self._now()
+        elapsed, self._updated = now - self._updated, now
+        if self._limit < self._slots:
+            step = elapsed * self._slots / self._ramp_s if self._ramp_s else self._slots
+            self._limit = min(self._slots, self._limit + step)
+
+    def _cap(self, share: float) -> int:
+        return max(1, math.floor(self._slots * share))
+
+    def _is_free(self, route: str, share: float) -> bool:
+        held = self._held.get(route, 0)
+        return self._in_use < self.limit and held < self._cap(share)
+
+    def wait_estimate(self, ahead: int) -> float:
+        """Return the expected seconds until a request behind ``ahead`` others runs."""
+        return (ahead + 1) * self._service_s / self.limit
+
+    async def acquire(self, route: str, share: float, timeout_s: float) -> None:
+        """Wait for a slot.
+
+        :param share: share of the slots that the route may hold.
+        :param timeout_s: seconds until the deadline of the request.
+        :raises RequestError: ``OVERLOADED`` or ``DEADLINE_BEFORE_RUN``; not run.
+        """
+        if not self._waiting.get(route) and self._is_free(route, share):
+            self._hold(route)
+            return
+        self._admit(route, timeout_s)
+        waiter = _Waiter(route, share, asyncio.get_running_loop().create_future())
+        self._waiting.setdefault(route, deque()).append(waiter)
+        self._queued += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter.granted
+        except TimeoutError:
+            self._leave_queue(waiter)
+            detail = "no slot before the deadline"
+            raise RequestError(ErrorKind.DEADLINE_BEFORE_RUN, detail) from None
+        except asyncio.CancelledError:
+            self._leave_queue(waiter)
+            raise
+
+    def _leave_queue(self, waiter: _Waiter) -> None:
+        """Undo the part of a waiter that gave up, whether or not it was granted."""
+        if waiter.granted.done() and not waiter.granted.cancelled():
+            if waiter.granted.exception() is None:
+                self.release(waiter.route, None)
+            return
+        queue = self._waiting.get(waiter.route)
+        if queue and waiter in queue:
+            queue.remove(waiter)
+            self._queued -= 1
+
+    def _admit(self, route: str, timeout_s: float) -> None:
+        """Refuse early what would not run in time or does not fit the queue."""
+        if self._queued and self.wait_estimate(self._queued) > timeout_s:
+            raise self._overloaded("the queue is longer than the deadline")
+        if self._queued < self._queue_bound:
+            return
+        lengths = {name: len(queue) for name, queue in self._waiting.items()}
+        longest = max(lengths, key=lengths.__getitem__, default=route)
+        if lengths.get(longest, 0) <= lengths.get(route, 0) + 1:
+            raise self._overloaded("the queue is full")
+        evicted = self._waiting[longest].pop()
+        self._queued -= 1
+        error = self._overloaded("the queue is full of the same route")
+        evicted.granted.set_exception(error)
+
+    def _overloaded(self, detail: str) -> RequestError:
+        wait = math.ceil(self.wait_estimate(self._queued))
+        after = min(MAX_RETRY_AFTER_S, max(1, wait))
+        return RequestError(ErrorKind.OVERLOADED, detail, retry_after=after)
+
+    def _hold(self, route: str) -> None:
+        self._held[route] = self._held.get(route, 0) + 1
+        self._in_use += 1
+        if self._in_use > max(self._slots, 1):
+            raise InvariantError(f"{self._in_use} of {self._slots} slots in use")
+
+    def release(self, route: str, service_s: float | None) -> None:
+        """Give a slot back.
+
+        :param service_s: seconds for which the target was busy, ``None`` if it was not.
+        """
+        self._held[route] -= 1
+        if not self._held[route]:
+            del self._held[route]
+        self._in_use -= 1
+        if service_s is not None:
+            difference = service_s - self._service_s
+            self._service_s += SERVICE_TIME_WEIGHT * difference
+        self._grant()
+
+    def _grant(self) -> None:
+        """Hand free slots to waiting requests, the route with the fewest first."""
+        while self._queued and self._in_use < self.limit:
+            ready = [
+                name
+                for name, queue in self._waiting.items()
+                if queue and self._is_free(name, queue[0].share)
+            ]
+            if not ready:
+                return
+            route = min(ready, key=lambda name: self._held.get(name, 0))
+            waiter = self._waiting[route].popleft()
+            if not self._waiting[route]:
+                del self._waiting[route]
+            self._queued -= 1
+            if not waiter.granted.done():
+                self._hold(route)
+                waiter.granted.set_result(None)
--- /dev/null
+++ b/ragwortferry/source/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform that publishes the document."""
--- /dev/null
+++ b/ragwortferry/source/directory.py
@@ -0,0 +1,85 @@
+"""Adapter to a directory of files, the default for a single machine."""
+
+__all__ = ["DirectorySource"]
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+
+from ragwortferry.exceptions import SourceError
+from ragwortferry.source.port import (
+    ACCEPTED_KEY,
+    SOURCES,
+    Instance,
+    InstanceChange,
+    Value,
+)
+
+POLL_INTERVAL_S = 0.2
+
+
+@SOURCES.register("dir")
+class DirectorySource:
+    """Reads ``accepted.json``, ``instances.json`` and ``SECTION.toml`` of a directory.
+
+    A published section may also lie beside its successor, as ``SECTION.DIGEST.toml``
+    with the first twelve digits of its digest.
+
+    :param path: the directory.
+    :param host: not used.
+    """
+
+    def __init__(self, path: str, host: str = ""):
+        self._path = Path(path)
+
+    def _file(self, key: str) -> Path:
+        if key == ACCEPTED_KEY:
+            return self._path / "accepted.json"
+        _, name, digest = key.split("/")
+        kept = self._path / f"{name}.{digest[:12]}.toml"
+        return kept if kept.exists() else self._path / f"{name}.toml"
+
+    async def read(self, key: str) -> Value | None:
+        """Return the content of the file of a key."""
+        return self._read_file(self._file(key))
+
+    def _read_file(self, path: Path) -> Value | None:
+        try:
+            revision = path.stat().st_mtime_ns
+            return Value(revision, path.read_bytes())
+        except FileNotFoundError:
+            return None
+        except OSError as error:
+            raise SourceError(f"cannot read {path}: {error.strerror}") from error
+
+    async def watch(self, key: str, after: int, wait: float) -> Value | None:
+        """Return the value once the file changes; the directory is polled."""
+        return await self._poll(self._file(key), after, wait)
+
+    async def _poll(self, path: Path, after: int, wait: float) -> Value | None:
+        deadline = asyncio.get_running_loop().time() + wait
+        while True:
+            value = self._read_file(path)
+            if value is not None and value.revision != after:
+                return value
+            if asyncio.get_running_loop().time() >= deadline:
+                return None
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def instances(self, after: int, wait: float) -> InstanceChange | None:
+        """Return the whole list of ``instances.json``, empty without the file."""
+        path = self._path / "instances.json"
+        if after == 0 and not path.exists():
+            return InstanceChange(1, True, [], [])
+        value = await self._poll(path, after, wait)
+        if value is None:
+            return None
+        try:
+            entries = msgspec.json.decode(value.data, type=list[Instance])
+        except msgspec.DecodeError as error:
+            raise SourceError(f"{path}: {error}") from error
+        return InstanceChange(value.revision, True, entries, [])
+
+    async def close(self) -> None:
+        """Do nothing: no file is kept open."""
--- /dev/null
+++ b/ragwortferry/source/http.py
@@ -0,0 +1,95 @@
+"""Adapter to the platform's HTTP service."""
+
+__all__ = ["HttpSource"]
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from ragwortferry.exceptions import SourceError
+from ragwortferry.source.port import SOURCES, InstanceChange, Value
+
+REPLY_TIMEOUT_S = 3.0
+REVISION_HEADER = "X-Revision"
+
+
+class HttpSource:
+    """Reads keys by ``GET /v1/keys/KEY`` and the list by ``GET /v1/instances``.
+
+    Both take ``after`` (a revision) and ``wait`` (seconds); 404 stands for no value and
+    304 for no change.
+
+    :param base: URL of the service.
+    :param host: own IP number, from which connections are made.
+    """
+
+    def __init__(self, base: str, host: str = ""):
+        self._base = base.rstrip("/")
+        self._local_address = (host, 0) if host else None
+        self._session: aiohttp.ClientSession | None = None
+
+    async def _get(self, path: str, wait: float, **params) -> tuple[int, int, bytes]:
+        """Return status, revision and body of one call."""
+        if self._session is None:
+            connector = aiohttp.TCPConnector(local_addr=self._local_address)
+            self._session = aiohttp.ClientSession(
+                connector=connector, auto_decompress=False
+            )
+        timeout = aiohttp.ClientTimeout(total=wait + REPLY_TIMEOUT_S)
+        params = {**params, "wait": wait} if wait else params
+        try:
+            async with self._session.get(
+                self._base + path, params=params, timeout=timeout
+            ) as reply:
+                revision = int(reply.headers.get(REVISION_HEADER, 0))
+                return reply.status, revision, await reply.read()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            raise SourceError(f"{self._base} is unreachable: {reason}") from error
+
+    async def read(self, key: str) -> Value | None:
+        """Return the value of a key by one call."""
+        status, revision, data = await self._get(f"/v1/keys/{key}", 0)
+        return self._value(status, revision, data)
+
+    async def watch(self, key: str, after: int, wait: float) -> Value | None:
+        """Return the value once it changes by one waiting call."""
+        path = f"/v1/keys/{key}"
+        status, revision, data = await self._get(path, wait, after=after)
+        return self._value(status, revision, data)
+
+    def _value(self, status: int, revision: int, data: bytes) -> Value | None:
+        if status == 200:
+            return Value(revision, data)
+        if status in (304, 404):
+            return None
+        raise SourceError(f"{self._base} answered {status}")
+
+    async def instances(self, after: int, wait: float) -> InstanceChange | None:
+        """Return what changed in the list of instances by one waiting call."""
+        status, _, data = await self._get("/v1/instances", wait, after=after)
+        if status == 304:
+            return None
+        if status != 200:
+            raise SourceError(f"{self._base} answered {status} for the instance list")
+        try:
+            return msgspec.json.decode(data, type=InstanceChange)
+        except msgspec.DecodeError as error:
+            raise SourceError(f"{self._base}: instance list: {error}") from error
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            await asyncio.sleep(0)
+
+
+@SOURCES.register("http")
+def _open_http(rest: str, host: str = "") -> HttpSource:
+    return HttpSource(f"http:{rest}", host)
+
+
+@SOURCES.register("https")
+def _open_https(rest: str, host: str = "") -> HttpSource:
+    return HttpSource(f"https:{rest}", host)
--- /dev/null
+++ b/ragwortferry/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Spreading of versions and of the instance list between processes."""
--- /dev/null
+++ b/ragwortferry/spread/peers.py
@@ -0,0 +1,558 @@
+"""Links to other processes: who is linked in which mode, and what each one has."""
+
+__all__ = ["Peer", "Peers", "SpreadTimes"]
+
+import asyncio
+import random
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ragwortferry.kernel import Kernel
+from ragwortferry.logs import Log
+from ragwortferry.source.port import Instance
+from ragwortferry.spread.link import Link, LinkCounters, LinkError
+from ragwortferry.spread.members import Members
+from ragwortferry.spread.messages import (
+    PROTOCOL,
+    Ack,
+    Announce,
+    Bye,
+    FleetReport,
+    Hello,
+    InstanceUpdate,
+    Mark,
+    Mode,
+    Pull,
+    RefusalNotice,
+    Subscribe,
+    SubtreeReport,
+    Update,
+    Welcome,
+    ZoneSummary,
+)
+from ragwortferry.spread.status import Fleet, StatusTable
+from ragwortferry.spread.store import Refusal, VersionStore
+from ragwortferry.utils.clock import HybridClock
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_LINKS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class SpreadTimes:
+    """Periods and bounds of the links, in seconds.
+
+    :param heartbeat: period of the heartbeats on each link.
+    :param silence: time without a frame after which a link is dead.
+    :param repair: time behind an announced version after which it is pulled.
+    :param status: period of the status reports.
+    """
+
+    heartbeat: float = 2.0
+    silence: float = 6.0
+    repair: float = 1.0
+    status: float = 5.0
+
+    @property
+    def report_delay(self) -> float:
+        """Return how long a status report waits for others to join it."""
+        return self.status / 5
+
+    @property
+    def fleet_delay(self) -> float:
+        """Return how long summaries of zones wait for others to join them."""
+        return self.status / 10
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """One link and what is known of the process at its other end.
+
+    :param outgoing: whether this process opened the link.
+    :param mode: mode in which the opening side uses the link.
+    :param settled: version up to which the peer has come to a verdict.
+    :param in_flight: whether an update sent to it is not acknowledged yet.
+    """
+
+    link: Link
+    instance: Instance
+    incarnation: str
+    outgoing: bool
+    mode: Mode
+    mark: Mark = field(default_factory=Mark)
+    settled: int = 0
+    noticed: tuple[Mark, str] | None = None
+    list_revision: int = 0
+    in_flight: bool = False
+    pulled: bool = False
+    repairing: bool = False
+    welcome: asyncio.Future | None = None
+
+    @property
+    def is_child(self) -> bool:
+        """Return whether this process must push to the peer."""
+        return not self.outgoing and self.mode is Mode.ACTIVE
+
+    @property
+    def is_parent(self) -> bool:
+        """Return whether the peer pushes to this process."""
+        return self.outgoing and self.mode is Mode.ACTIVE
+
+
+Handler = Callable[["Peers", Peer, object], Awaitable[None] | None]
+HANDLERS: dict[type, Handler] = {}
+
+
+def handles(kind: type) -> Callable[[Handler], Handler]:
+    """Return a decorator that registers the handler of a kind of message."""
+
+    def decorate(handler: Handler) -> Handler:
+        HANDLERS[kind] = handler
+        return handler
+
+    return decorate
+
+
+class Peers:
+    """Accepts and opens links, and pushes versions to the children.
+
+    :param mesh: name of the mesh; processes of another mesh are turned away.
+    :param max_children: active children at most.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        members: Members,
+        store: VersionStore,
+        clock: HybridClock,
+        log: Log,
+        times: SpreadTimes,
+        mesh: str,
+        max_children: int,
+        rng: random.Random,
+    ):
+        self._kernel = kernel
+        self._members = members
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._times = times
+        self._mesh = mesh
+        self._max_children = max_children
+        self._rng = rng
+        self._peers: set[Peer] = set()
+        self._server: asyncio.Server | None = None
+        self._report_due: asyncio.TimerHandle | None = None
+        self._fleet_due: asyncio.TimerHandle | None = None
+        self._fresh_zones: dict[str, ZoneSummary] = {}
+        self.table = StatusTable(members, store)
+        self.fleet = Fleet(members)
+        self.counters = LinkCounters()
+        self.incarnation = uuid.uuid4().hex
+
+    @property
+    def times(self) -> SpreadTimes:
+        """Return the periods and bounds of the links."""
+        return self._times
+
+    @property
+    def peers(self) -> frozenset[Peer]:
+        """Return the open links."""
+        return frozenset(self._peers)
+
+    @property
+    def children(self) -> list[Peer]:
+        """Return the peers to which this process pushes."""
+        return [peer for peer in self._peers if peer.is_child]
+
+    @property
+    def parent(self) -> Peer | None:
+        """Return the peer that pushes to this process."""
+        return next((peer for peer in self._peers if peer.is_parent), None)
+
+    async def start(self) -> None:
+        """Listen for links and start the heartbeats."""
+        me = self._members.me
+        self._server = await asyncio.start_server(
+            self._accept, me.host, me.link_port, backlog=1024
+        )
+        self._store.listen(self._version_changed)
+        self._members.listen(self._push_all)
+        self._kernel.spawn(self._heartbeat(), "heartbeat")
+        self._kernel.spawn(self._status_loop(), "status")
+
+    async def stop(self) -> None:
+        """Say goodbye on every link and close them."""
+        if self._server:
+            self._server.close()
+        for peer in self.peers:
+            peer.link.send(Bye(reason="stopping"))
+            peer.link.close()
+        for timer in (self._report_due, self._fleet_due):
+            if timer:
+                timer.cancel()
+
+    # Opening and accepting
+
+    def _hello(self, mode: Mode) -> Hello:
+        me, store = self._members.me, self._store
+        revision = self._members.revision
+        return Hello(
+            PROTOCOL, self._mesh, me, self.incarnation, mode, store.mark, revision
+        )
+
+    async def connect(self, to: Instance, mode: Mode) -> tuple[Peer, Welcome]:
+        """Open a link to another process.
+
+        :returns: the peer, not yet served, and its welcome.
+        :raises LinkError: if it is unreachable or turns this process away.
+        """
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                me = (self._members.me.host, 0)
+                streams = await asyncio.open_connection(
+                    to.host, to.link_port, local_addr=me
+                )
+        except (OSError, TimeoutError) as error:
+            self._members.suspect(to.id)
+            raise LinkError(f"{to.id}: {type(error).__name__}") from None
+        link = self._link(*streams)
+        link.send(self._hello(mode))
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                welcome = await link.receive()
+        except (LinkError, TimeoutError) as error:
+            link.abort()
+            self._members.suspect(to.id)
+            raise LinkError(f"{to.id}: {error or 'no welcome'}") from None
+        if not isinstance(welcome, Welcome):
+            link.abort()
+            raise LinkError(f"{to.id}: no welcome")
+        self._members.trust(to.id)
+        self._store.observe_high(welcome.high)
+        peer = Peer(link, to, welcome.incarnation, True, mode, welcome.mark)
+        peer.list_revision = welcome.list_revision
+        return peer, welcome
+
+    def _link(self, reader, writer) -> Link:
+        return Link(reader, writer, self._clock, self.counters, self._times.silence)
+
+    async def _accept(self, reader, writer) -> None:
+        link = self._link(reader, writer)
+        try:
+            hello = await link.receive()
+            if not isinstance(hello, Hello):
+                raise LinkError("protocol error: no hello")
+            if (hello.protocol, hello.mesh) != (PROTOCOL, self._mesh):
+                raise LinkError("protocol error: another mesh or protocol")
+        except LinkError as error:
+            self._log.event("link-refused", "stranger turned away", reason=str(error))
+            link.abort()
+            return
+        peer = Peer(
+            link, hello.instance, hello.incarnation, False, hello.mode, hello.mark
+        )
+        peer.list_revision = hello.list_revision
+        peer.settled = hello.mark.version
+        accepted = self._has_room(peer.mode)
+        link.send(self._welcome(accepted))
+        if accepted and peer.mode is not Mode.PROBE:
+            await self.serve(peer)
+        link.close()
+
+    def _has_room(self, mode: Mode) -> bool:
+        if mode is Mode.ACTIVE:
+            return len(self.children) < self._max_children
+        return mode is Mode.PROBE or len(self._peers) < MAX_LINKS
+
+    def _children_listed(self) -> list[Instance]:
+        """Return the children, with their listed address if they have one."""
+        listed = self._members.instances
+        return [listed.get(c.instance.id, c.instance) for c in self.children]
+
+    def _welcome(self, accepted: bool) -> Welcome:
+        redirect = [] if accepted else self._children_listed()
+        store = self._store
+        return Welcome(
+            self._members.me.id,
+            self.incarnation,
+            store.mark,
+            store.high,
+            self._members.revision,
+            accepted,
+            redirect,
+        )
+
+    async def serve(self, peer: Peer) -> None:
+        """Handle the messages of a peer until its link ends."""
+        self._peers.add(peer)
+        side = "parent" if peer.outgoing else "child"
+        self._log.event(
+            "link-up", f"{peer.mode} link", peer=peer.instance.id, side=side
+        )
+        self._push(peer)
+        self._consider_repair(peer)
+        if self._shares_fleet(peer):
+            peer.link.send(self.fleet.report())
+        self.report_soon()
+        reason = "closed"
+        try:
+            while True:
+                await self._handle(peer, await peer.link.receive())
+        except LinkError as error:
+            reason = str(error)
+        except msgspec.DecodeError as error:
+            reason = f"protocol error: {error}"
+        finally:
+            self._peers.discard(peer)
+            self.table.drop(id(peer))
+            peer.link.abort()
+            self._log.event(
+                "link-down", "link ended", peer=peer.instance.id, reason=reason
+            )
+
+    async def _handle(self, peer: Peer, message: object) -> None:
+        handler = HANDLERS.get(type(message))
+        if handler is None:
+            raise LinkError(f"protocol error: {type(message).__name__} in a stream")
+        result = handler(self, peer, message)
+        if result is not None:
+            await result
+
+    # Pushing
+
+    def _version_changed(self) -> None:
+        self._push_all()
+        announce = self._announce()
+        for peer in self._peers:
+            if not peer.is_child:
+                peer.link.send(announce)
+        self.report_soon()
+
+    def _push_all(self) -> None:
+        for peer in self.peers:
+            self._push(peer)
+
+    def _push(self, peer: Peer) -> None:
+        """Send a child what it lacks, one update at a time, always the newest."""
+        if not (peer.is_child or peer.pulled) or peer.in_flight:
+            return
+        self._push_refusal(peer)
+        newer = self._store.mark.version > peer.settled
+        update = self._store.update_for(peer.mark) if newer else None
+        listing = self._members.update_for(peer.list_revision)
+        for message in (listing, update):
+            if message is not None:
+                peer.link.send(message)
+                peer.in_flight = True
+        if not peer.in_flight:
+            peer.pulled = False
+
+    def _push_refusal(self, peer: Peer) -> None:
+        refusal = self._store.refusal
+        if not refusal or refusal.mark.version <= peer.settled:
+            return
+        if peer.noticed != (refusal.mark, refusal.reason):
+            peer.noticed = refusal.mark, refusal.reason
+            notice = RefusalNotice(refusal.mark, refusal.reason, refusal.final)
+            peer.link.send(notice)
+
+    def _ack(self, peer: Peer) -> None:
+        store, revision = self._store, self._members.revision
+        peer.link.send(Ack(store.mark, store.settled, revision))
+
+    # Handlers
+
+    @handles(Announce)
+    def _on_announce(self, peer: Peer, message: Announce) -> None:
+        self._store.observe_high(message.high)
+        if peer.outgoing or not peer.in_flight:
+            peer.mark = message.mark
+            peer.list_revision = message.list_revision
+        self._consider_repair(peer)
+
+    @handles(Pull)
+    def _on_pull(self, peer: Peer, message: Pull) -> None:
+        peer.mark, peer.settled = message.mark, message.mark.version
+        peer.list_revision = message.list_revision
+        peer.pulled, peer.in_flight = True, False
+        self._push(peer)
+
+    @handles(Update)
+    async def _on_update(self, peer: Peer, message: Update) -> None:
+        if self._store.check_order(message.mark):
+            self._report_conflict(peer, message.mark)
+            self._ack(peer)
+            return
+        manifest = self._store.manifest_of(message)
+        if manifest is None and message.base.version:
+            peer.link.send(Pull(self._store.mark, self._members.revision))
+            return
+        if manifest is None:
+            raise LinkError("protocol error: update does not match its digest")
+        await self._store.apply(manifest, message.texts, via=peer.instance.id)
+        peer.mark = message.mark
+        self._ack(peer)
+
+    def _report_conflict(self, peer: Peer, mark: Mark) -> None:
+        held = self._store.mark
+        if mark.version == held.version and mark.digest != held.digest:
+            self._log.event(
+                "conflict",
+                f"version {mark.version} offered with other content",
+                peer=peer.instance.id,
+                version=mark.version,
+                digest=mark.digest,
+            )
+
+    @handles(Ack)
+    def _on_ack(self, peer: Peer, message: Ack) -> None:
+        peer.mark = message.mark
+        peer.settled = max(message.settled, message.mark.version)
+        peer.list_revision = message.list_revision
+        peer.in_flight = False
+        self._push(peer)
+
+    @handles(RefusalNotice)
+    def _on_refusal(self, peer: Peer, message: RefusalNotice) -> None:
+        if message.mark.version > self._store.mark.version:
+            refusal = Refusal(message.mark, message.reason, message.final)
+            self._store.refuse(refusal)
+
+    @handles(InstanceUpdate)
+    def _on_instances(self, peer: Peer, message: InstanceUpdate) -> None:
+        change = self._members.decode_update(message)
+        if change is None:
+            peer.link.send(Pull(self._store.mark, self._members.revision))
+            return
+        self._members.apply(change)
+        peer.list_revision = max(peer.list_revision, message.revision)
+        self._ack(peer)
+
+    @handles(SubtreeReport)
+    def _on_report(self, peer: Peer, message: SubtreeReport) -> None:
+        self.table.take(id(peer), message)
+        self.report_soon()
+
+    @handles(FleetReport)
+    def _on_fleet(self, peer: Peer, message: FleetReport) -> None:
+        self._spread_zones(self.fleet.merge(message.zones))
+
+    @handles(Subscribe)
+    def _on_subscribe(self, peer: Peer, message: Subscribe) -> None:
+        accepted = self._has_room(message.mode)
+        if accepted:
+            peer.mode = message.mode
+        peer.link.send(self._welcome(accepted))
+        self._push(peer)
+
+    @handles(Welcome)
+    def _on_welcome(self, peer: Peer, message: Welcome) -> None:
+        if peer.welcome and not peer.welcome.done():
+            peer.welcome.set_result(message.accepted)
+
+    @handles(Bye)
+    def _on_bye(self, peer: Peer, message: Bye) -> None:
+        if peer.outgoing:
+            self._members.suspect(peer.instance.id)
+        raise LinkError(f"peer left: {message.reason}")
+
+    async def upgrade(self, peer: Peer) -> bool:
+        """Ask the peer of a lazy link to become the parent."""
+        peer.welcome = asyncio.get_running_loop().create_future()
+        peer.link.send(Subscribe(Mode.ACTIVE))
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                accepted = await peer.welcome
+        except TimeoutError:
+            accepted = False
+        if accepted:
+            peer.mode = Mode.ACTIVE
+        return accepted
+
+    # Repair
+
+    def _is_ahead(self, peer: Peer) -> bool:
+        newer_list = peer.list_revision > self._members.revision
+        return peer.mark.version > self._store.settled or newer_list
+
+    def _consider_repair(self, peer: Peer) -> None:
+        """Pull from a peer that stays ahead; a child or lazy peer counts as well."""
+        if peer.repairing or not self._is_ahead(peer):
+            return
+        peer.repairing = True
+        self._kernel.spawn(self._repair(peer), f"repair from {peer.instance.id}")
+
+    async def _repair(self, peer: Peer) -> None:
+        try:
+            await asyncio.sleep(self._times.repair * self._rng.uniform(0.5, 1.0))
+            if self._is_ahead(peer) and not peer.link.closed:
+                peer.link.send(Pull(self._store.mark, self._members.revision))
+                await asyncio.sleep(self._times.repair)
+        finally:
+            peer.repairing = False
+
+    # Periodic work
+
+    def _announce(self) -> Announce:
+        store = self._store
+        return Announce(store.mark, store.high, self._members.revision)
+
+    async def _heartbeat(self) -> None:
+        while True:
+            await asyncio.sleep(self._times.heartbeat * self._rng.uniform(0.8, 1.0))
+            announce = self._announce()
+            for peer in self.peers:
+                peer.link.send(announce)
+
+    async def _status_loop(self) -> None:
+        while True:
+            await asyncio.sleep(self._times.status * self._rng.uniform(0.8, 1.0))
+            self._send_report()
+
+    def report_soon(self) -> None:
+        """Send the status report shortly, together with what comes until then."""
+        if self._report_due is None:
+            loop = asyncio.get_running_loop()
+            delay = self._times.report_delay
+            self._report_due = loop.call_later(delay, self._send_report)
+
+    def refresh_status(self) -> None:
+        """Bring the own zone's summary up to date if this process is its root."""
+        if self.parent is None:
+            self.fleet.merge([self.table.summary(self._clock)])
+
+    def _send_report(self) -> None:
+        if self._report_due:
+            self._report_due.cancel()
+            self._report_due = None
+        parent = self.parent
+        if parent:
+            parent.link.send(self.table.report())
+        else:
+            summary = self.table.summary(self._clock)
+            self._spread_zones(self.fleet.merge([summary]))
+
+    def _spread_zones(self, zones: list[ZoneSummary]) -> None:
+        """Pass new summaries on, together with those that come shortly after."""
+        for summary in zones:
+            self._fresh_zones[summary.zone] = summary
+        if zones and self._fleet_due is None:
+            loop = asyncio.get_running_loop()
+            delay = self._times.fleet_delay
+            self._fleet_due = loop.call_later(delay, self._flush_zones)
+
+    def _flush_zones(self) -> None:
+        self._fleet_due = None
+        report = FleetReport(list(self._fresh_zones.values()))
+        self._fresh_zones.clear()
+        for peer in self.peers:
+            if self._shares_fleet(peer):
+                peer.link.send(report)
+
+    def _shares_fleet(self, peer: Peer) -> bool:
+        return peer.is_child or peer.instance.zone != self._members.me.zone
--- /dev/null
+++ b/ragwortferry/spread/seeker.py
@@ -0,0 +1,175 @@
+"""Finds a parent, a lazy link and the links to other zones, and replaces lost ones."""
+
+__all__ = ["Seeker"]
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+from ragwortferry.kernel import Kernel
+from ragwortferry.logs import Log
+from ragwortferry.source.port import Instance
+from ragwortferry.spread.link import LinkError
+from ragwortferry.spread.members import Members
+from ragwortferry.spread.messages import Mode
+from ragwortferry.spread.peers import Peer, Peers
+from ragwortferry.utils.pacing import Backoff
+
+RETRY_FIRST_S = 0.1
+RETRY_MOST_S = 2.0
+IDLE_S = 0.5
+MAX_ASKED = 8
+ZONE_STEPS = (1, 3, 7)
+REMOTE_READERS = 2
+
+
+class Seeker:
+    """Keeps the outgoing links of this process.
+
+    Every process wants one active link to a parent and one lazy link to another process
+    of its availability zone. Readers also want lazy links to readers of other zones.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        members: Members,
+        peers: Peers,
+        log: Log,
+        rng: random.Random,
+    ):
+        self._kernel = kernel
+        self._members = members
+        self._peers = peers
+        self._log = log
+        self._rng = rng
+
+    async def start(self) -> None:
+        """Start to look for links."""
+        self._kernel.spawn(self._keep_parent(), "parent")
+        self._kernel.spawn(self._keep_lazy(), "lazy link")
+        self._kernel.spawn(self._keep_remote(), "zone links")
+
+    async def stop(self) -> None:
+        """Do nothing: the tasks end with the kernel."""
+
+    # Parent
+
+    async def _keep_parent(self) -> None:
+        backoff = Backoff(RETRY_FIRST_S, RETRY_MOST_S, self._rng)
+        while True:
+            if self._peers.parent is not None or self._members.position == 0:
+                await asyncio.sleep(IDLE_S * self._rng.uniform(0.1, 1.0))
+                continue
+            if await self._find_parent():
+                backoff.reset()
+            else:
+                await asyncio.sleep(backoff.next_delay())
+
+    async def _find_parent(self) -> bool:
+        """Upgrade the lazy link, or open a link to the first that has room.
+
+        :returns: whether a parent was found and has since been lost or kept.
+        """
+        lazy = self._lazy_in_zone()
+        if lazy and self._members.may_be_parent(lazy.instance.id):
+            if await self._peers.upgrade(lazy):
+                return True
+        asked: set[str] = set()
+        candidates = list(self._members.parents())
+        while candidates and len(asked) < MAX_ASKED:
+            candidate = candidates.pop(0)
+            if candidate.id in asked or self._linked(candidate.id):
+                continue
+            asked.add(candidate.id)
+            redirect = await self._try_parent(candidate)
+            if redirect is None:
+                return True
+            candidates[:0] = [
+                item for item in redirect if self._members.may_be_parent(item.id)
+            ]
+        return False
+
+    async def _try_parent(self, candidate: Instance) -> list[Instance] | None:
+        """Ask one candidate; return ``None`` if it took this process on."""
+        try:
+            peer, welcome = await self._peers.connect(candidate, Mode.ACTIVE)
+        except LinkError as error:
+            self._log.event(
+                "link-failed", "no parent there", peer=candidate.id, reason=str(error)
+            )
+            return []
+        if not welcome.accepted:
+            peer.link.close()
+            return welcome.redirect
+        self._serve(peer)
+        return None
+
+    def _serve(self, peer: Peer) -> asyncio.Task:
+        name = f"{peer.mode} link to {peer.instance.id}"
+        return self._kernel.spawn(self._peers.serve(peer), name)
+
+    def _linked(self, name: str) -> bool:
+        return any(
+            peer.outgoing and peer.instance.id == name for peer in self._peers.peers
+        )
+
+    # Lazy link
+
+    def _lazy_in_zone(self) -> Peer | None:
+        zone = self._members.me.zone
+        for peer in self._peers.peers:
+            in_zone = peer.instance.zone == zone
+            if peer.outgoing and peer.mode is Mode.LAZY and in_zone:
+                return peer
+        return None
+
+    async def _keep_lazy(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_S * self._rng.uniform(0.5, 1.0))
+            if self._lazy_in_zone() is None:
+                await self._open_lazy(self._lazy_candidates())
+
+    def _lazy_candidates(self) -> list[Instance]:
+        """Return two lower instances of the zone and two of any rank, at random."""
+        zone = self._members.zone_members(self._members.me.zone)
+        others = [name for name in zone if name != self._members.me.id]
+        lower = [name for name in others if self._members.may_be_parent(name)]
+        picked = self._rng.sample(lower, min(2, len(lower)))
+        picked += self._rng.sample(others, min(2, len(others)))
+        instances = self._members.instances
+        return [instances[n] for n in picked if not self._linked(n) and n in instances]
+
+    async def _open_lazy(self, candidates: Iterable[Instance]) -> bool:
+        for candidate in candidates:
+            try:
+                peer, welcome = await self._peers.connect(candidate, Mode.LAZY)
+            except LinkError:
+                continue
+            if welcome.accepted:
+                self._serve(peer)
+                return True
+            peer.link.close()
+        return False
+
+    # Links to other zones
+
+    async def _keep_remote(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_S * self._rng.uniform(0.5, 1.0))
+            wanted = self._wanted_zones() if self._members.is_reader else []
+            for zone in wanted:
+                if not self._zone_linked(zone):
+                    readers = self._members.readers_of(zone, REMOTE_READERS)
+                    await self._open_lazy(readers)
+
+    def _wanted_zones(self) -> list[str]:
+        zones = self._members.zones
+        at = zones.index(self._members.me.zone)
+        steps = [zones[(at + step) % len(zones)] for step in ZONE_STEPS]
+        return [z for z in dict.fromkeys(steps) if z != self._members.me.zone]
+
+    def _zone_linked(self, zone: str) -> bool:
+        return any(
+            peer.outgoing and peer.instance.zone == zone for peer in self._peers.peers
+        )
--- /dev/null
+++ b/ragwortferry/spread/status.py
@@ -0,0 +1,284 @@
+"""Where versions stand: reports that flow up a zone and summaries between zones."""
+
+__all__ = ["Fleet", "FleetAnswer", "StatusTable"]
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from msgspec import Struct
+
+from ragwortferry.spread.members import Members
+from ragwortferry.spread.messages import (
+    FleetReport,
+    StatusGroup,
+    SubtreeReport,
+    ZoneSummary,
+)
+from ragwortferry.spread.store import VersionStore
+from ragwortferry.utils.clock import HybridClock
+from ragwortferry.utils.digests import instance_key
+
+KEY_BYTES = 8
+MAX_NAMES = 10
+HEARD_BOUND_S = 30.0
+
+ENFORCED = "enforced"
+UNPROVEN = "enforced-unproven"
+REFUSED = "refused"
+STARTING = "starting"
+
+
+@dataclass(slots=True)
+class _Held:
+    """A report from below and when it came."""
+
+    groups: list[StatusGroup]
+    at: float
+
+
+class StatusTable:
+    """Merges the own state with the reports of the children.
+
+    :param now: monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        store: VersionStore,
+        now: Callable[[], float] = time.monotonic,
+    ):
+        self._members = members
+        self._store = store
+        self._now = now
+        self._held: dict[int, _Held] = {}
+
+    def take(self, peer_id: int, report: SubtreeReport) -> None:
+        """Replace what a child reported before."""
+        self._held[peer_id] = _Held(report.groups, self._now())
+
+    def drop(self, peer_id: int) -> None:
+        """Forget a child whose link is gone."""
+        self._held.pop(peer_id, None)
+
+    def own_groups(self) -> list[StatusGroup]:
+        """Return the state of this process; a refusal stands beside the version."""
+        key = instance_key(self._members.me.id).to_bytes(KEY_BYTES, "big")
+        version = self._store.mark.version
+        proven = ENFORCED if self._store.floor_proven else UNPROVEN
+        state = proven if version else STARTING
+        groups = [StatusGroup(version, state, "", key, 0)]
+        refusal = self._store.refusal
+        if refusal:
+            refused = refusal.mark.version
+            groups.append(StatusGroup(refused, REFUSED, refusal.reason, key, 0))
+        return groups
+
+    def report(self) -> SubtreeReport:
+        """Return the state of this process and all below it."""
+        merged: dict[tuple[int, str, str], tuple[set[bytes], int]] = {}
+        for group, extra_ms in self._all_groups():
+            keys, age = merged.get((group.version, group.state, group.reason)) or (
+                set(),
+                0,
+            )
+            keys |= set(_split(group.keys))
+            age = max(age, group.age_ms + extra_ms)
+            merged[group.version, group.state, group.reason] = keys, age
+        return SubtreeReport(
+            [
+                StatusGroup(version, state, reason, b"".join(sorted(keys)), age)
+                for (version, state, reason), (keys, age) in merged.items()
+            ]
+        )
+
+    def _all_groups(self) -> Iterable[tuple[StatusGroup, int]]:
+        now = self._now()
+        for group in self.own_groups():
+            yield group, 0
+        for held in self._held.values():
+            age_ms = int((now - held.at) * 1000)
+            for group in held.groups:
+                yield group, age_ms
+
+    def summary(self, clock: HybridClock) -> ZoneSummary:
+        """Return the summary of the own zone as this process knows it."""
+        groups = self.report().groups
+        newest = max([g.version for g in groups if g.state != REFUSED], default=0)
+        heard: dict[int, int] = {}
+        proven: dict[int, int] = {}
+        unproven, age = set(), 0
+        refused: dict[str, int] = {}
+        for group in groups:
+            keys = _split(group.keys)
+            age = max(age, group.age_ms)
+            if group.state == REFUSED:
+                refused[f"version {group.version}: {group.reason}"] = len(keys)
+                continue
+            for packed in keys:
+                key = int.from_bytes(packed, "big")
+                heard[key] = max(heard.get(key, 0), group.version)
+                if group.state == UNPROVEN:
+                    unproven.add(key)
+        for version in heard.values():
+            if version:
+                proven[version] = proven.get(version, 0) + 1
+        behind = [key for key, version in heard.items() if version < newest]
+        zone = self._members.me.zone
+        absent = [
+            name
+            for name in self._members.zone_members(zone)
+            if instance_key(name) not in heard
+        ]
+        return ZoneSummary(
+            zone=zone,
+            root=self._members.me.id,
+            stamp=clock.tick(),
+            age_ms=age,
+            enforced=proven,
+            unproven=len(unproven),
+            refused=refused,
+            behind=[self._name(key) for key in behind[:MAX_NAMES]],
+            behind_count=len(behind),
+            not_heard=sorted(absent)[:MAX_NAMES],
+            not_heard_count=len(absent),
+        )
+
+    def _name(self, key: int) -> str:
+        return self._members.name_of(key) or f"unlisted:{key:016x}"
+
+
+def _split(keys: bytes) -> list[bytes]:
+    return [keys[at : at + KEY_BYTES] for at in range(0, len(keys), KEY_BYTES)]
+
+
+class ZoneAnswer(Struct):
+    """One availability zone in the answer for the fleet.
+
+    :param age_s: age of the knowledge; above the bound the zone is not heard from.
+    """
+
+    zone: str
+    heard: bool
+    age_s: float
+    enforced: dict[int, int]
+    unproven: int
+    refused: dict[str, int]
+    behind: list[str]
+    behind_count: int
+    not_heard: list[str]
+    not_heard_count: int
+
+
+class FleetAnswer(Struct):
+    """Where a version stands, by one process's knowledge.
+
+    :param version: version asked for.
+    :param not_heard: instances that no current report mentions.
+    :param complete: whether every listed instance is known to enforce it.
+    """
+
+    instance: str
+    version: int
+    digest: str
+    newest: int
+    list_revision: int
+    listed: int
+    enforced: int
+    newer: int
+    behind: int
+    refused: dict[str, int]
+    not_heard: int
+    unproven: int
+    complete: bool
+    zones: list[ZoneAnswer]
+
+
+class Fleet:
+    """Summaries of all zones, the newest by hybrid timestamp for each."""
+
+    def __init__(self, members: Members, now: Callable[[], float] = time.monotonic):
+        self._members = members
+        self._now = now
+        self._zones: dict[str, tuple[ZoneSummary, float]] = {}
+
+    def merge(self, zones: Iterable[ZoneSummary]) -> list[ZoneSummary]:
+        """Take in summaries and return those that were new."""
+        fresh = []
+        for summary in zones:
+            held = self._zones.get(summary.zone)
+            if held is None or held[0].stamp < summary.stamp:
+                self._zones[summary.zone] = summary, self._now()
+                fresh.append(summary)
+        return fresh
+
+    def report(self) -> FleetReport:
+        """Return the summaries with their ages brought up to date."""
+        now = self._now()
+        return FleetReport(
+            [
+                _aged(summary, int((now - at) * 1000))
+                for summary, at in self._zones.values()
+            ]
+        )
+
+    def answer(self, store: VersionStore, version: int | None) -> FleetAnswer:
+        """Return where ``version`` stands, the newest known if ``None``."""
+        zones = [self._zone_answer(zone) for zone in self._members.zones]
+        seen = [v for zone in zones for v in zone.enforced]
+        newest = max([*seen, store.high.version, store.mark.version])
+        wanted = newest if version is None else version
+        heard = [zone for zone in zones if zone.heard]
+        at = sum(zone.enforced.get(wanted, 0) for zone in heard)
+        newer = sum(n for z in heard for v, n in z.enforced.items() if v > wanted)
+        older = sum(n for z in heard for v, n in z.enforced.items() if v < wanted)
+        missing = sum(zone.not_heard_count for zone in zones)
+        refused: dict[str, int] = {}
+        for zone in heard:
+            for reason, count in zone.refused.items():
+                refused[reason] = refused.get(reason, 0) + count
+        mark = store.mark
+        return FleetAnswer(
+            instance=self._members.me.id,
+            version=wanted,
+            digest=mark.digest if mark.version == wanted else "",
+            newest=newest,
+            list_revision=self._members.revision,
+            listed=len(self._members.instances),
+            enforced=at,
+            newer=newer,
+            behind=older,
+            refused=refused,
+            not_heard=missing,
+            unproven=sum(zone.unproven for zone in heard),
+            complete=bool(at + newer) and not (older or missing),
+            zones=zones,
+        )
+
+    def _zone_answer(self, zone: str) -> ZoneAnswer:
+        names = sorted(self._members.zone_members(zone))
+        held = self._zones.get(zone)
+        if held is None:
+            absent = names[:MAX_NAMES]
+            return ZoneAnswer(zone, False, -1.0, {}, 0, {}, [], 0, absent, len(names))
+        summary = _aged(held[0], int((self._now() - held[1]) * 1000))
+        fresh = summary.age_ms <= HEARD_BOUND_S * 1000
+        return ZoneAnswer(
+            zone=zone,
+            heard=fresh,
+            age_s=summary.age_ms / 1000,
+            enforced=summary.enforced,
+            unproven=summary.unproven,
+            refused=summary.refused,
+            behind=summary.behind,
+            behind_count=summary.behind_count,
+            not_heard=summary.not_heard if fresh else names[:MAX_NAMES],
+            not_heard_count=summary.not_heard_count if fresh else len(names),
+        )
+
+
+def _aged(summary: ZoneSummary, extra_ms: int) -> ZoneSummary:
+    fields = {name: getattr(summary, name) for name in summary.__struct_fields__}
+    fields["age_ms"] += extra_ms
+    return ZoneSummary(**fields)
--- /dev/null
+++ b/ragwortferry/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by all parts."""
--- /dev/null
+++ b/ragwortferry/utils/decorators.py
@@ -0,0 +1,25 @@
+"""Decorators for cross-cutting work."""
+
+__all__ = ["one_line_errors"]
+
+import functools
+import sys
+from collections.abc import Callable
+
+from ragwortferry.exceptions import RagwortferryError
+
+EXIT_ERROR = 1
+
+
+def one_line_errors(function: Callable) -> Callable:
+    """Turn the errors of a command into one line on standard error and exit code 1."""
+
+    @functools.wraps(function)
+    def wrapper(*args, **kwargs):
+        try:
+            return function(*args, **kwargs)
+        except (RagwortferryError, OSError) as error:
+            print(f"ragwortferry: {error}", file=sys.stderr)
+            raise SystemExit(EXIT_ERROR) from None
+
+    return wrapper
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,306 @@
+"""Starts a small fleet of real processes with stand-ins around them."""
+
+__all__ = ["Fleet", "Node", "call", "free_ports", "wait_until"]
+
+import asyncio
+import contextlib
+import itertools
+import random
+import signal
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from ragwortferry.document.models import Manifest, encode_manifest
+from ragwortferry.source.port import ACCEPTED_KEY, Instance, section_key
+from ragwortferry.utils.digests import content_digest
+from standins.network import Network
+from standins.platform import Platform, PlatformServer
+from standins.target import Target, TargetServer
+
+PORTS = range(20_000, 30_000)
+PLATFORM_ZONE = 9
+FIRST_ZONE = 10
+POLL_S = 0.02
+FAST = {
+    "heartbeat_s": 0.3,
+    "silence_s": 1.2,
+    "repair_s": 0.3,
+    "status_s": 0.5,
+    "boot_wait_s": 3.0,
+    "leave_s": 0.2,
+}
+
+
+def free_ports(host: str, count: int) -> list[int]:
+    """Return ports that are free on a host, below those the kernel hands out."""
+    found: list[int] = []
+    for port in random.SystemRandom().sample(PORTS, 200):
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, port))
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise OSError(f"no {count} free ports on {host}")
+
+
+async def wait_until(
+    condition: Callable[[], Awaitable[object]], bound_s: float, what: str
+):
+    """Return the first true result of a condition.
+
+    :raises AssertionError: if it stays false until the bound.
+    """
+    end = time.monotonic() + bound_s
+    while True:
+        result = await condition()
+        if result:
+            return result
+        if time.monotonic() > end:
+            raise AssertionError(f"not within {bound_s} s: {what}")
+        await asyncio.sleep(POLL_S)
+
+
+@dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+async def call(
+    session: aiohttp.ClientSession, method: str, url: str, **options
+) -> Answer:
+    """Send one request and return the whole answer."""
+    async with session.request(method, url, **options) as reply:
+        return Answer(reply.status, reply.headers, await reply.read())
+
+
+@dataclass
+class Node:
+    """One instance: its proxy process, target and addresses."""
+
+    instance: Instance
+    service: str
+    target: Target
+    target_server: TargetServer
+    target_port: int
+    log: Path
+    listed: Instance
+    fronts: dict = field(default_factory=dict)
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def url(self) -> str:
+        """Return the URL for callers."""
+        return f"http://{self.instance.host}:{self.instance.listen_port}"
+
+    @property
+    def admin(self) -> str:
+        """Return the URL for operators."""
+        return f"http://{self.instance.host}:{self.instance.owner_port}"
+
+    @property
+    def zone_number(self) -> str:
+        """Return the zone number in the address."""
+        return self.instance.host.split(".")[1]
+
+
+class Fleet:
+    """A platform, targets, and proxies in several availability zones.
+
+    :param folder: where the logs go.
+    :param fronted: whether links and owner ports stand behind fault proxies.
+    """
+
+    def __init__(self, folder: Path, fronted: bool = False, lag_s: float = 0.0):
+        self._folder = folder
+        self._fronted = fronted
+        self._zones: dict[str, int] = {}
+        self._count = itertools.count()
+        self._platform_port = 0
+        self._session: aiohttp.ClientSession | None = None
+        self.platform = Platform(lag_s=lag_s)
+        self.server = PlatformServer(self.platform)
+        self.network = Network()
+        self.nodes: dict[str, Node] = {}
+        self.manifest: Manifest | None = None
+        self.settings: dict[str, object] = dict(FAST)
+
+    async def __aenter__(self) -> "Fleet":
+        host = f"127.{PLATFORM_ZONE}.0.1"
+        port, front = free_ports(host, 2)
+        await self.server.start(host, port)
+        await self.network.front(host, front, port)
+        self._platform_port = front
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=30),
+        )
+        return self
+
+    async def __aexit__(self, *_exc) -> None:
+        for node in self.nodes.values():
+            self.kill(node.instance.id)
+        for node in self.nodes.values():
+            if node.process:
+                await node.process.wait()
+            await node.target_server.stop()
+        await self._session.close()
+        await self.network.stop()
+        await self.server.stop()
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the HTTP client of the callers."""
+        return self._session
+
+    @property
+    def source(self) -> str:
+        """Return the address of the platform."""
+        return f"http://127.{PLATFORM_ZONE}.0.1:{self._platform_port}"
+
+    def zone_number(self, zone: str) -> str:
+        """Return the number that stands for a zone in addresses."""
+        number = self._zones.setdefault(zone, FIRST_ZONE + len(self._zones))
+        return str(number)
+
+    async def add(self, name: str, zone: str, service: str) -> Node:
+        """Prepare an instance; ``spawn`` starts its process."""
+        at = next(self._count)
+        host = f"127.{self.zone_number(zone)}.{at // 250}.{at % 250 + 1}"
+        listen, owner, link, owner_front, link_front, own = free_ports(host, 6)
+        region = zone.rpartition("-")[0] or zone
+        instance = Instance(name, zone, region, host, listen, owner, link)
+        listed, fronts = instance, {}
+        if self._fronted:
+            fronts["owner"] = await self.network.front(host, owner_front, owner)
+            fronts["link"] = await self.network.front(host, link_front, link)
+            listed = Instance(name, zone, region, host, listen, owner_front, link_front)
+        target = Target(name)
+        server = TargetServer(target)
+        await server.start(host, own)
+        log = self._folder / f"{name}.log"
+        node = Node(instance, service, target, server, own, log, listed, fronts)
+        self.nodes[name] = node
+        return node
+
+    async def front_target(self, name: str):
+        """Put a fault proxy between the proxy of an instance and its target."""
+        node = self.nodes[name]
+        host = node.instance.host
+        (port,) = free_ports(host, 1)
+        front = await self.network.front(host, port, node.target_port)
+        node.fronts["target"] = front
+        node.target_port = port
+        return front
+
+    def list_all(self) -> None:
+        """Put every instance on the platform's list."""
+        self.platform.change_list([node.listed for node in self.nodes.values()], [])
+
+    async def spawn(self, name: str, **settings) -> None:
+        """Start the process of an instance."""
+        node = self.nodes[name]
+        me = node.instance
+        given = {
+            "instance": me.id,
+            "zone": me.zone,
+            "region": me.region,
+            "host": me.host,
+            "listen_port": me.listen_port,
+            "owner_port": me.owner_port,
+            "link_port": me.link_port,
+            "target": f"{me.host}:{node.target_port}",
+            "source": self.source,
+            "log": str(node.log),
+            **self.settings,
+            **settings,
+        }
+        flags = [f"--{key}={value}" for key, value in given.items()]
+        node.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "ragwortferry", "run", *flags
+        )
+
+    async def spawn_all(self, **settings) -> None:
+        """Start the processes of all instances."""
+        for name in self.nodes:
+            await self.spawn(name, **settings)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to the process of an instance if it runs."""
+        process = self.nodes[name].process
+        if process and process.returncode is None:
+            process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill the process of an instance."""
+        self.signal(name, signal.SIGKILL)
+
+    def publish(self, texts: Mapping[str, bytes], version: int, base: int = -1) -> str:
+        """Publish sections and accept them as a version; return its digest."""
+        digests = {name: content_digest(text) for name, text in texts.items()}
+        for name, text in texts.items():
+            self.platform.put(section_key(name, digests[name]), text)
+        manifest = Manifest(version, version - 1 if base < 0 else base, digests)
+        self.manifest = manifest
+        data = encode_manifest(manifest)
+        self.platform.put(ACCEPTED_KEY, data)
+        return content_digest(data)
+
+    async def call(self, name: str, method: str, path: str, **options) -> Answer:
+        """Send a request to the proxy of an instance."""
+        return await call(self._session, method, self.nodes[name].url + path, **options)
+
+    async def state(self, name: str) -> dict:
+        """Return the state of one process, empty if it does not answer."""
+        try:
+            url = self.nodes[name].admin + "/-/process"
+            answer = await call(
+                self._session, "GET", url, timeout=aiohttp.ClientTimeout(total=2)
+            )
+            return msgspec.json.decode(answer.body) if answer.status == 200 else {}
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return {}
+
+    async def status(self, name: str, version: int = 0) -> dict:
+        """Return the fleet's status as one process knows it."""
+        params = {"version": str(version)} if version else {}
+        url = self.nodes[name].admin + "/-/status"
+        answer = await call(self._session, "GET", url, params=params)
+        return msgspec.json.decode(answer.body)
+
+    async def versions(self, names: list[str] | None = None) -> dict[str, int]:
+        """Return the version in force at each instance, -1 without an answer."""
+        wanted = names or list(self.nodes)
+        states = await asyncio.gather(*(self.state(name) for name in wanted))
+        pairs = zip(wanted, states, strict=True)
+        return {name: state.get("version", -1) for name, state in pairs}
+
+    async def wait_version(
+        self, version: int, names: list[str] | None = None, bound_s: float = 20
+    ) -> None:
+        """Wait until the instances enforce a version."""
+
+        async def enforced() -> bool:
+            found = await self.versions(names)
+            return all(held == version for held in found.values())
+
+        await wait_until(enforced, bound_s, f"version {version} everywhere")
+
+    def events(self, name: str, kind: str) -> list[dict]:
+        """Return the events of one kind that an instance has logged."""
+        log = self.nodes[name].log
+        if not log.exists():
+            return []
+        lines = log.read_bytes().splitlines()
+        events = [msgspec.json.decode(line) for line in lines if line.endswith(b"}")]
+        return [event for event in events if event.get("message_type") == kind]
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,280 @@
+"""Stand-in for the platform's configuration service.
+
+Operators write through ``PUT /v1/keys/KEY`` and ``/control``; the system only reads.
+"""
+
+__all__ = ["Platform", "PlatformServer"]
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import fire
+import msgspec
+from aiohttp import web
+
+from ragwortferry.source.port import Instance, InstanceChange
+
+MAX_VALUE_BYTES = 1_048_576
+CALLS_PER_SECOND = 2_000
+REVISION = "X-Revision"
+EXPECTED = "X-Expect-Revision"
+
+
+class Faults(msgspec.Struct):
+    """Faults in force.
+
+    :param outage: whether every call is answered 503.
+    :param frozen: whether reads see the state of the moment when this was set.
+    :param rewound: revision whose state reads see, 0 for the present one.
+    :param delay_s: seconds by which each answer is late.
+    """
+
+    outage: bool = False
+    frozen: bool = False
+    rewound: int = 0
+    delay_s: float = 0.0
+
+
+@dataclass
+class _Write:
+    revision: int
+    key: str
+    data: bytes
+
+
+@dataclass
+class _ListChange:
+    at: float
+    revision: int
+    upsert: Instance | None
+    removed: str
+
+
+@dataclass
+class Platform:
+    """Keys with revisions, and the list of instances with a lag.
+
+    :param lag_s: seconds until a change of the list can be read.
+    """
+
+    lag_s: float = 0.0
+    limit: int = CALLS_PER_SECOND
+    faults: Faults = field(default_factory=Faults)
+    calls: Counter = field(default_factory=Counter)
+    per_second: Counter = field(default_factory=Counter)
+    limited: int = 0
+    _writes: list[_Write] = field(default_factory=list)
+    _changes: list[_ListChange] = field(default_factory=list)
+    _frozen_at: int = 0
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def count(self, kind: str) -> bool:
+        """Count a call and say whether it is inside the limit."""
+        second = int(time.time())
+        self.calls[kind] += 1
+        self.per_second[second] += 1
+        if self.per_second[second] > self.limit:
+            self.limited += 1
+            return False
+        return True
+
+    def put(self, key: str, data: bytes, expected: int | None = None) -> int | None:
+        """Write a value; ``None`` if the key's revision is not the expected one."""
+        held = self.get(key, present=True)
+        if expected is not None and (held.revision if held else 0) != expected:
+            return None
+        self._writes.append(_Write(len(self._writes) + 1, key, data))
+        self._wake()
+        return len(self._writes)
+
+    def get(self, key: str, present: bool = False) -> _Write | None:
+        """Return the write that readers see."""
+        horizon = len(self._writes) if present else self._horizon()
+        for write in reversed(self._writes[:horizon]):
+            if write.key == key:
+                return write
+        return None
+
+    def _horizon(self) -> int:
+        if self.faults.rewound:
+            return self.faults.rewound
+        return self._frozen_at if self.faults.frozen else len(self._writes)
+
+    def set_faults(self, faults: Faults) -> None:
+        """Replace the faults in force."""
+        if faults.frozen and not self.faults.frozen:
+            self._frozen_at = len(self._writes)
+        self.faults = faults
+        self._wake()
+
+    def change_list(self, upserts: list[Instance], removed: list[str]) -> None:
+        """Change the list of instances; readers see it after the lag."""
+        now, loop = time.monotonic(), asyncio.get_running_loop()
+        for item in upserts:
+            self._add_change(now, item, "")
+        for name in removed:
+            self._add_change(now, None, name)
+        loop.call_later(self.lag_s + 0.01, self._wake)
+
+    def _add_change(self, now: float, upsert: Instance | None, removed: str) -> None:
+        revision = len(self._changes) + 1
+        self._changes.append(_ListChange(now, revision, upsert, removed))
+
+    def list_since(self, after: int) -> InstanceChange | None:
+        """Return what readers see of the list beyond a revision."""
+        visible = time.monotonic() - self.lag_s
+        seen = [change for change in self._changes if change.at <= visible]
+        if not seen or seen[-1].revision <= after:
+            return None
+        upserts: dict[str, Instance] = {}
+        removed: dict[str, None] = {}
+        for change in seen[after:]:
+            if change.upsert:
+                upserts[change.upsert.id] = change.upsert
+                removed.pop(change.upsert.id, None)
+            else:
+                upserts.pop(change.removed, None)
+                removed[change.removed] = None
+        full = after == 0
+        gone = [] if full else list(removed)
+        return InstanceChange(seen[-1].revision, full, list(upserts.values()), gone)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait(self, probe, wait_s: float):
+        """Return ``probe()`` once it is not ``None``, or ``None`` after ``wait_s``."""
+        end = time.monotonic() + wait_s
+        while True:
+            changed = self._changed
+            found = probe()
+            left = end - time.monotonic()
+            if found is not None or left <= 0 or self.faults.outage:
+                return found
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                pass
+
+
+class PlatformServer:
+    """Serves a platform by HTTP."""
+
+    def __init__(self, platform: Platform):
+        self.platform = platform
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port."""
+        app = web.Application(client_max_size=4 * MAX_VALUE_BYTES)
+        app.add_routes(
+            [
+                web.get("/v1/keys/{key:.+}", self._get),
+                web.put("/v1/keys/{key:.+}", self._put),
+                web.get("/v1/instances", self._instances),
+                web.post("/control/instances", self._change_list),
+                web.post("/control/faults", self._set_faults),
+                web.get("/control/counts", self._counts),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port, backlog=1024)
+        await site.start()
+        return self._runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def _admit(self, kind: str) -> web.Response | None:
+        platform = self.platform
+        inside = platform.count(kind)
+        if platform.faults.delay_s:
+            await asyncio.sleep(platform.faults.delay_s)
+        if platform.faults.outage:
+            return web.Response(status=503, text="outage")
+        return None if inside else web.Response(status=429, text="too many calls")
+
+    async def _get(self, request: web.Request) -> web.Response:
+        refusal = await self._admit("key")
+        if refusal:
+            return refusal
+        key = request.match_info["key"]
+        after = int(request.query.get("after", -1))
+        wait_s = float(request.query.get("wait", 0))
+
+        def probe() -> _Write | None:
+            write = self.platform.get(key)
+            return write if write and write.revision > after else None
+
+        write = await self.platform.wait(probe, wait_s)
+        if self.platform.faults.outage:
+            return web.Response(status=503, text="outage")
+        if write is None:
+            return web.Response(status=304 if wait_s else 404)
+        return web.Response(body=write.data, headers={REVISION: str(write.revision)})
+
+    async def _put(self, request: web.Request) -> web.Response:
+        data = await request.read()
+        if len(data) > MAX_VALUE_BYTES:
+            return web.Response(status=413, text="value over one megabyte")
+        expected = request.headers.get(EXPECTED)
+        revision = self.platform.put(
+            request.match_info["key"], data, int(expected) if expected else None
+        )
+        if revision is None:
+            return web.Response(status=409, text="the key has moved")
+        return web.Response(headers={REVISION: str(revision)})
+
+    async def _instances(self, request: web.Request) -> web.Response:
+        refusal = await self._admit("list")
+        if refusal:
+            return refusal
+        after = int(request.query.get("after", 0))
+        wait_s = float(request.query.get("wait", 0))
+        change = await self.platform.wait(
+            lambda: self.platform.list_since(after), wait_s
+        )
+        if self.platform.faults.outage:
+            return web.Response(status=503, text="outage")
+        if change is None:
+            return web.Response(status=304)
+        return web.Response(body=msgspec.json.encode(change))
+
+    async def _change_list(self, request: web.Request) -> web.Response:
+        body = msgspec.json.decode(await request.read())
+        upserts = msgspec.convert(body.get("upserts", []), list[Instance])
+        self.platform.change_list(upserts, body.get("removed", []))
+        return web.Response()
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        self.platform.set_faults(msgspec.json.decode(await request.read(), type=Faults))
+        return web.Response()
+
+    async def _counts(self, request: web.Request) -> web.Response:
+        platform = self.platform
+        return web.json_response(
+            {
+                "calls": dict(platform.calls),
+                "most_in_a_second": max(platform.per_second.values(), default=0),
+                "limited": platform.limited,
+            }
+        )
+
+
+async def _serve(host: str, port: int, lag_s: float) -> None:
+    await PlatformServer(Platform(lag_s=lag_s)).start(host, port)
+    await asyncio.Event().wait()
+
+
+def main(port: int, host: str = "127.0.0.1", lag_s: float = 0.0) -> None:
+    """Serve until killed."""
+    asyncio.run(_serve(host, port, lag_s))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,179 @@
+"""Stand-in for a target, with a ledger of what ran."""
+
+__all__ = ["Behaviour", "Target", "TargetServer"]
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+import fire
+import msgspec
+from aiohttp import web
+
+CHUNK = b"x" * 16_384
+REQUEST_ID = "X-Request-Id"
+REFUSED = {"X-Target-Refused": "not-run"}
+
+
+class Behaviour(msgspec.Struct):
+    """How the target behaves.
+
+    :param slots: requests that it runs at once; more are shed.
+    :param cold_s: seconds after the start in which everything is slow.
+    :param delay_s: seconds that a request takes.
+    :param shed: whether every request is refused as not run.
+    :param leaving: whether it refuses new work because it is about to stop.
+    :param silent: whether requests run but are never answered.
+    :param reset: whether the connection breaks after the request has run.
+    :param cut: whether a streamed answer breaks off in its middle.
+    """
+
+    slots: int = 20
+    cold_s: float = 0.0
+    delay_s: float = 0.0
+    shed: bool = False
+    leaving: bool = False
+    silent: bool = False
+    reset: bool = False
+    cut: bool = False
+
+
+@dataclass
+class Run:
+    """One request that ran."""
+
+    request_id: str
+    method: str
+    path: str
+    at: float
+    cancelled: bool = False
+    timeout_ms: int = 0
+
+
+@dataclass
+class Target:
+    """State of a target; the ledger holds every request that began to run."""
+
+    name: str = "target"
+    behaviour: Behaviour = field(default_factory=Behaviour)
+    ledger: list[Run] = field(default_factory=list)
+    running: int = 0
+    most_running: int = 0
+    refused: int = 0
+    started: float = field(default_factory=time.monotonic)
+
+    def runs_of(self, request_id: str) -> int:
+        """Return how often a request ran."""
+        return sum(run.request_id == request_id for run in self.ledger)
+
+
+class TargetServer:
+    """Serves a target by HTTP.
+
+    The query sets ``delay_ms`` and ``bytes`` of one answer.
+    """
+
+    def __init__(self, target: Target):
+        self.target = target
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port."""
+        server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port, shutdown_timeout=0.1)
+        await site.start()
+        return self._runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stop listening and drop the connections."""
+        await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        target, behaviour = self.target, self.target.behaviour
+        if request.path.startswith("/control/"):
+            return await self._control(request)
+        if behaviour.leaving or behaviour.shed or target.running >= behaviour.slots:
+            target.refused += 1
+            leaving = {"X-Target-Leaving": "1"} if behaviour.leaving else {}
+            return web.Response(status=503, headers={**REFUSED, **leaving})
+        run = Run(
+            request.headers.get(REQUEST_ID, ""),
+            request.method,
+            request.path,
+            time.time(),
+            timeout_ms=int(request.headers.get("X-Request-Timeout-Ms", 0)),
+        )
+        target.ledger.append(run)
+        target.running += 1
+        target.most_running = max(target.most_running, target.running)
+        try:
+            return await self._answer(request)
+        except asyncio.CancelledError:
+            run.cancelled = True
+            raise
+        finally:
+            target.running -= 1
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        behaviour = self.target.behaviour
+        body = await request.read()
+        cold = time.monotonic() - self.target.started < behaviour.cold_s
+        delay = int(request.query.get("delay_ms", 0)) / 1000 + behaviour.delay_s
+        await asyncio.sleep(delay * (5 if cold else 1))
+        if behaviour.silent:
+            await asyncio.sleep(3600)
+        if behaviour.reset:
+            request.transport.abort()
+            return web.Response()
+        size = int(request.query.get("bytes", 0))
+        if size:
+            return await self._stream(request, size)
+        text = {"target": self.target.name, "path": request.path, "got": len(body)}
+        return web.json_response(text)
+
+    async def _stream(self, request: web.BaseRequest, size: int):
+        pause = int(request.query.get("pause_ms", 0)) / 1000
+        response = web.StreamResponse()
+        response.content_length = size
+        await response.prepare(request)
+        left = size
+        while left:
+            if self.target.behaviour.cut and left <= size // 2:
+                request.transport.abort()
+                return response
+            chunk = CHUNK[: min(left, len(CHUNK))]
+            await response.write(chunk)
+            left -= len(chunk)
+            if pause:
+                await asyncio.sleep(pause)
+        await response.write_eof()
+        return response
+
+    async def _control(self, request: web.BaseRequest) -> web.Response:
+        target = self.target
+        if request.path == "/control/behaviour":
+            target.behaviour = msgspec.json.decode(await request.read(), type=Behaviour)
+            return web.Response()
+        if request.path == "/control/ledger":
+            return web.Response(body=msgspec.json.encode(target.ledger))
+        state = {"most_running": target.most_running, "refused": target.refused}
+        return web.json_response(state)
+
+
+async def _serve(host: str, port: int, name: str, slots: int) -> None:
+    target = Target(name, Behaviour(slots=slots))
+    await TargetServer(target).start(host, port)
+    await asyncio.Event().wait()
+
+
+def main(
+    port: int, host: str = "127.0.0.1", name: str = "target", slots: int = 20
+) -> None:
+    """Serve until killed."""
+    asyncio.run(_serve(host, port, name, slots))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
