--- /dev/null
+++ b/benchmarks/request_path.py
@@ -0,0 +1,180 @@
+"""Measures what two proxy hops add to a call.
+
+Prints as its last line one JSON object: added milliseconds over a direct call at p50,
+p99 and p99.9 for several rates, calls per processor second, and resident memory.
+"""
+
+__all__ = ["main"]
+
+import asyncio
+import json
+import sys
+import tempfile
+from pathlib import Path
+
+import aiohttp
+import fire
+import uvloop
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.sections import section
+from standins.fleet import Fleet, call, free_ports, wait_until
+
+NODE_RATE = 53
+RATES = (NODE_RATE, 2 * NODE_RATE, 4 * NODE_RATE, 8 * NODE_RATE)
+MICROSECONDS = 1_000_000
+LONGEST_US = 60 * MICROSECONDS
+DIGITS = 3
+QUANTILES = {"p50": 50.0, "p99": 99.0, "p99.9": 99.9}
+WORKERS_AT_SATURATION = 16
+ADDED_P99_BOUND_MS = 1.9
+MEMORY_BOUND_MB = 64
+
+
+class Caller:
+    """Sends calls and records their latency from the time they were due."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str):
+        self._session = session
+        self._url = url
+        self.histogram = HdrHistogram(1, LONGEST_US, DIGITS)
+        self.failures = 0
+
+    async def _one(self, due: float) -> None:
+        loop = asyncio.get_running_loop()
+        answer = await call(self._session, "GET", self._url)
+        elapsed = loop.time() - due
+        self.histogram.record_value(max(1, int(elapsed * MICROSECONDS)))
+        self.failures += answer.status != 200
+
+    async def at_rate(self, rate: float, seconds: float) -> None:
+        """Send calls at a fixed rate, however long the answers take."""
+        loop = asyncio.get_running_loop()
+        start, tasks = loop.time(), []
+        for number in range(int(rate * seconds)):
+            due = start + number / rate
+            await asyncio.sleep(max(0, due - loop.time()))
+            tasks.append(loop.create_task(self._one(due)))
+        await asyncio.gather(*tasks)
+
+    async def saturate(self, seconds: float) -> float:
+        """Send calls one after another from several workers; return calls a second."""
+        loop = asyncio.get_running_loop()
+        end, before = loop.time() + seconds, self.histogram.get_total_count()
+
+        async def work() -> None:
+            while loop.time() < end:
+                await self._one(loop.time())
+
+        await asyncio.gather(*(work() for _ in range(WORKERS_AT_SATURATION)))
+        return (self.histogram.get_total_count() - before) / seconds
+
+
+def _quantiles(histogram: HdrHistogram) -> dict[str, float]:
+    return {
+        name: histogram.get_value_at_percentile(at) / 1000
+        for name, at in QUANTILES.items()
+    }
+
+
+async def _one_rate(session, urls: dict[str, str], rate, seconds, turns) -> dict:
+    """Measure both paths in turns at one rate."""
+    callers = {name: Caller(session, url) for name, url in urls.items()}
+    for _ in range(turns):
+        for caller in callers.values():
+            await caller.at_rate(rate, seconds)
+    found = {name: _quantiles(caller.histogram) for name, caller in callers.items()}
+    added = {q: round(found["proxied"][q] - found["direct"][q], 3) for q in QUANTILES}
+    failures = sum(caller.failures for caller in callers.values())
+    return {"rate": rate, "added_ms": added, **found, "failures": failures}
+
+
+async def _usage(fleet: Fleet) -> dict[str, dict]:
+    return {name: await fleet.state(name) for name in fleet.nodes}
+
+
+def _resident_mb(usage: dict[str, dict]) -> dict[str, float]:
+    return {n: round(u["resident_bytes"] / 2**20, 1) for n, u in usage.items()}
+
+
+async def _start(fleet: Fleet) -> tuple[str, asyncio.subprocess.Process]:
+    """Start entry, owner and a target process; return the target's URL."""
+    entry = await fleet.add("entry-1", "zone-a", "none")
+    owner = await fleet.add("tablero-1", "zone-a", "tablero")
+    host = owner.instance.host
+    (port,) = free_ports(host, 1)
+    target = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "standins.target", f"--port={port}", f"--host={host}"
+    )
+    owner.target_port = port
+    assert entry.instance.zone == owner.instance.zone
+    fleet.publish({"boards": section("tablero", ["tablero-1"], ["zone-a"])}, 1)
+    fleet.list_all()
+    await fleet.spawn_all(heartbeat_s=2.0, silence_s=6.0, status_s=5.0)
+    await fleet.wait_version(1)
+    return f"http://{host}:{port}", target
+
+
+async def _answers(session, url: str) -> bool:
+    try:
+        return (await call(session, "GET", url)).status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+async def _measure(seconds: float, turns: int) -> dict:
+    with tempfile.TemporaryDirectory() as folder:
+        async with Fleet(Path(folder)) as fleet:
+            base, target = await _start(fleet)
+            try:
+                return await _rates(fleet, base, seconds, turns)
+            finally:
+                target.kill()
+                await target.wait()
+
+
+async def _rates(fleet: Fleet, base: str, seconds: float, turns: int) -> dict:
+    session = fleet.session
+    proxied = fleet.nodes["entry-1"].url
+    urls = {"direct": f"{base}/tablero/1", "proxied": f"{proxied}/tablero/1"}
+    for url in urls.values():
+        await wait_until(lambda url=url: _answers(session, url), 10, url)
+        await Caller(session, url).at_rate(NODE_RATE, 1.0)
+    rest = await _usage(fleet)
+    rates = []
+    for rate in RATES:
+        rates.append(await _one_rate(session, urls, rate, seconds, turns))
+        print(json.dumps(rates[-1]), flush=True)
+    before = await _usage(fleet)
+    saturated = {}
+    for name, url in urls.items():
+        saturated[name] = round(await Caller(session, url).saturate(seconds), 1)
+    after = await _usage(fleet)
+    calls = saturated["proxied"] * seconds
+    cpu = {name: after[name]["cpu_s"] - before[name]["cpu_s"] for name in after}
+    return {
+        "rates": rates,
+        "saturated_calls_per_s": saturated,
+        "calls_per_cpu_s": {name: round(calls / used) for name, used in cpu.items()},
+        "resident_mb_rest": _resident_mb(rest),
+        "resident_mb_load": _resident_mb(after),
+        "threads": {name: usage["threads"] for name, usage in after.items()},
+        "within": {
+            "added_p99": rates[0]["added_ms"]["p99"] <= ADDED_P99_BOUND_MS,
+            "memory": max(_resident_mb(after).values()) <= MEMORY_BOUND_MB,
+        },
+    }
+
+
+def main(seconds: float = 5.0, turns: int = 3) -> None:
+    """Run the benchmark.
+
+    :param seconds: length of each turn
+    :param turns: turns of each path at each rate
+    """
+    uvloop.install()
+    print(json.dumps(asyncio.run(_measure(seconds, turns))))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/ragwortferry/composition.py
+++ b/ragwortferry/composition.py
@@ -79,17 +79,21 @@
         self._stopping = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
-        service = KernelService(kernel=kernel)
         entrypoint = aiomisc.entrypoint(
-            service,
+            KernelService(kernel=kernel),
             loop=loop,
             log_config=False,
             catch_signals=(),
             shutdown_timeout=STOP_GRACE_S,
         )
-        async with entrypoint:
-            self._log.event("started", "process started", settings=self._described())
-            await self._wait_end(kernel)
+        try:
+            async with entrypoint:
+                self._log.event(
+                    "started", "process started", settings=self._described()
+                )
+                await self._wait_end(kernel)
+        finally:
+            await kernel.stop()
         self._log.event("stopped", "process stopped")
         return EXIT_INVARIANT if kernel.failed.is_set() else 0
 
--- a/ragwortferry/document/snapshot.py
+++ b/ragwortferry/document/snapshot.py
@@ -132,24 +132,35 @@
     def add(self, section: Section) -> Iterable[str]:
         """Add the definitions of a section and yield what stands twice."""
         for service in section.services:
-            if service.name in self.services:
-                yield f"service {service.name!r} is defined twice"
+            other = self.services.get(service.name)
+            if other is not None:
+                where = _both(other.section, section.name)
+                yield f"service {service.name!r} is defined in sections {where}"
             self.services[service.name] = service
-            for upstream in service.upstreams:
-                if upstream.name in self.upstreams:
-                    yield f"upstream {upstream.name!r} is listed twice"
-                self.upstreams[upstream.name] = service.name
+            yield from self._add_upstreams(service)
         for route in section.routes:
             yield from self._add_route(route)
 
+    def _add_upstreams(self, service: Service) -> Iterable[str]:
+        for upstream in service.upstreams:
+            other = self.upstreams.get(upstream.name)
+            if other is not None:
+                where = _both(other, service.name)
+                yield f"upstream {upstream.name!r} is listed by services {where}"
+            self.upstreams[upstream.name] = service.name
+
     def _add_route(self, route: Route) -> Iterable[str]:
-        if route.name in self.routes:
-            yield f"route {route.name!r} is defined twice"
+        other = self.routes.get(route.name)
+        if other is not None:
+            where = _both(other.section, route.section)
+            yield f"route {route.name!r} is defined in sections {where}"
         self.routes[route.name] = route
         self.users[route.service] = self.users.get(route.service, 0) + 1
         for method in sorted(route.methods):
-            if (method, route.prefix) in self.paths:
-                yield f"routes for {method} {route.prefix} are defined twice"
+            other = self.paths.get((method, route.prefix))
+            if other is not None:
+                where = _both(other.name, route.name)
+                yield f"{method} {route.prefix} is routed by {where}"
             self.paths[method, route.prefix] = route
 
     def dangling(self) -> Iterable[str]:
@@ -169,6 +180,10 @@
                 )
 
 
+def _both(first: str, second: str) -> str:
+    return " and ".join(repr(name) for name in sorted((first, second)))
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """Everything that one version says, immutable.
--- /dev/null
+++ b/ragwortferry/document/tests/test_document.py
@@ -0,0 +1,159 @@
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from ragwortferry.document.models import (
+    MAX_SECTION_BYTES,
+    decode_manifest,
+    decode_section,
+    encode_manifest,
+)
+from ragwortferry.document.snapshot import Section, build_snapshot
+from ragwortferry.tests.builders import manifest, section
+from ragwortferry.utils.digests import content_digest
+
+
+def build(texts, base=None, version=1):
+    held = base.sections if base else {}
+    sections = {}
+    for name, text in texts.items():
+        digest = content_digest(text)
+        old = held.get(name)
+        if old is not None and old.digest == digest:
+            sections[name] = old
+            continue
+        model = decode_section(name, text).ok
+        sections[name] = Section.from_model(name, digest, model)
+    return build_snapshot(manifest(texts, version), sections, base)
+
+
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        (b"team = ", ["malformed TOML"]),
+        (b"\xff\xfe", ["malformed TOML"]),
+        (section(extra="slots = 0"), ["services[0].slots", "'0'", ">= 1"]),
+        (section(extra="queue = 'x'"), ["services[0].queue", "'x'", "int"]),
+        (section(extra="colour = 1"), ["services[0]", "colour"]),
+        (section(upstreams=0), ["services[0].upstreams", "length >= 1"]),
+        (section().replace(b"/tablero/pay", b"no-slash"), ["routes[1].prefix"]),
+        (b"#" * (MAX_SECTION_BYTES + 1), ["1000001 bytes", "1000000"]),
+    ],
+)
+def test_a_bad_section_is_refused_with_field_value_and_rule(text, words):
+    result = decode_section("boards", text)
+    assert result.is_error()
+    for word in ["section 'boards'", *words]:
+        assert word in result.error
+
+
+@pytest.mark.parametrize(
+    ("texts", "words"),
+    [
+        (
+            {
+                "a": section(),
+                "b": section("archivo").replace(b"archivo-r", b"tablero-r"),
+            },
+            "route 'tablero-read' is defined in sections 'a' and 'b'",
+        ),
+        (
+            {"a": section(), "b": section("archivo").replace(b'"/a', b'"/tablero" #')},
+            "GET /tablero is routed by 'archivo-read' and 'tablero-read'",
+        ),
+        (
+            {"a": section().replace(b'service = "tablero"', b'service = "gone"')},
+            "route 'tablero-pay': service 'gone' does not exist",
+        ),
+        (
+            {
+                "a": section(),
+                "b": section("archivo").replace(b"archivo-1", b"tablero-1"),
+            },
+            "upstream 'tablero-1' is listed by services 'archivo' and 'tablero'",
+        ),
+        (
+            {"a": section(), "b": section().partition(b"[[routes]]")[0]},
+            "service 'tablero' is defined in sections 'a' and 'b'",
+        ),
+    ],
+)
+def test_a_conflict_between_sections_is_refused(texts, words):
+    assert words in build(texts).error
+
+
+def test_a_route_never_outlives_its_service():
+    texts = {
+        "routes": section("tablero")
+        .partition(b"[[routes]]")[2]
+        .join([b'team = "r"\n[[routes]]', b""]),
+        "services": section("tablero").partition(b"[[routes]]")[0],
+    }
+    base = build(texts).ok
+    without = {
+        "routes": texts["routes"],
+        "services": texts["services"].replace(b'name = "tablero"', b'name = "other"'),
+    }
+    assert "does not exist" in build(without, base, version=2).error
+
+
+def test_match_takes_the_longest_prefix_of_whole_segments():
+    snapshot = build({"a": section()}).ok
+    assert snapshot.match("GET", "/tablero/pay/9").name == "tablero-pay"
+    assert snapshot.match("GET", "/tablero/payments").name == "tablero-read"
+    assert snapshot.match("GET", "/tablerox") is None
+    assert snapshot.match("POST", "/tablero") is None
+    assert snapshot.allowed_methods("/tablero") == ["GET"]
+
+
+def test_manifest_text_is_canonical():
+    texts = {"b": section(), "a": section("archivo")}
+    first, second = manifest(texts), manifest(dict(reversed(texts.items())))
+    assert encode_manifest(first) == encode_manifest(second)
+    assert decode_manifest(encode_manifest(first)).ok == first
+
+
+@pytest.mark.parametrize("text", [b"", b"{}", b'{"version":0}', b"[1]", b'{"version":'])
+def test_a_malformed_manifest_is_refused(text):
+    assert decode_manifest(text).error.startswith("manifest: ")
+
+
+SERVICES = ("s1", "s2", "s3")
+
+
+@st.composite
+def documents(draw):
+    """Draw a document in which services, upstreams and routes often collide."""
+    texts = {}
+    for name in draw(st.lists(st.sampled_from("abcd"), unique=True, min_size=1)):
+        service = draw(st.sampled_from(SERVICES))
+        text = section(service, upstreams=draw(st.integers(1, 2)))
+        if draw(st.booleans()):
+            other = draw(st.sampled_from(SERVICES)).encode()
+            text = text.replace(
+                b'service = "' + service.encode(), b'service = "' + other
+            )
+        if draw(st.booleans()):
+            text = text.replace(
+                b'name = "' + service.encode(), b'name = "' + name.encode()
+            )
+        texts[name] = text
+    return texts
+
+
+@seed(20261203)
+@settings(max_examples=300, deadline=None, database=None)
+@given(documents(), documents())
+def test_a_partial_check_gives_the_verdict_of_a_full_one(before, after):
+    first = build(before)
+    base = first.ok if first.is_ok() else None
+    partial, full = build(after, base, version=2), build(after, version=2)
+    assert partial.is_ok() == full.is_ok()
+    if full.is_error():
+        assert partial.error == full.error
+    else:
+        assert partial.ok.services == full.ok.services
+        assert partial.ok.routes == full.ok.routes
+        for service in SERVICES:
+            path = f"/{service}/pay"
+            assert partial.ok.match("GET", path) == full.ok.match("GET", path)
--- a/ragwortferry/requests/pool.py
+++ b/ragwortferry/requests/pool.py
@@ -57,7 +57,7 @@
         self._local_address = (host, 0)
         self._limit = limit
         self._single = single
-        self._current = self._new_generation()
+        self._current: _Generation | None = None
 
     def _new_generation(self) -> _Generation:
         options = {"limit": self._limit, "local_addr": self._local_address}
@@ -80,15 +80,18 @@
 
     def renew(self) -> None:
         """Use new connections from now on; those in use end with their requests."""
-        old, self._current = self._current, self._new_generation()
-        old.retired = True
-        old.close_if_unused()
+        old, self._current = self._current, None
+        if old:
+            old.retired = True
+            old.close_if_unused()
 
     async def request(self, method: str, url, **options) -> PooledResponse:
         """Send a request and return its response once the headers have come.
 
         :raises aiohttp.ClientError: if it fails.
         """
+        if self._current is None:
+            self._current = self._new_generation()
         generation = self._current
         generation.in_use += 1
         try:
@@ -103,4 +106,5 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._current.session.close()
+        if self._current:
+            await self._current.session.close()
--- /dev/null
+++ b/ragwortferry/requests/tests/test_headers.py
@@ -0,0 +1,55 @@
+import pytest
+from multidict import CIMultiDict
+
+from ragwortferry.exceptions import ANSWERS, ErrorKind, Outcome, RequestError
+from ragwortferry.requests import headers
+
+
+def test_every_error_kind_has_an_answer_and_every_retry_is_proved():
+    assert ANSWERS.keys() == set(ErrorKind)
+    for answer in ANSWERS.values():
+        assert 400 <= answer.status < 600
+        if answer.elsewhere:
+            assert answer.outcome is Outcome.NOT_RUN
+        if answer.status in (502, 503, 504):
+            assert answer.retry_after
+
+
+def test_single_hop_and_internal_headers_go_no_further():
+    given = CIMultiDict(
+        {
+            "Connection": "X-Local, keep-alive",
+            "X-Local": "1",
+            "Content-Length": "3",
+            "X-Ragwortferry-Attempt": "forged",
+            "X-Target-Refused": "not-run",
+            "Accept": "a",
+        }
+    )
+    given.add("Accept", "b")
+    assert list(headers.end_to_end(given).items()) == [("Accept", "a"), ("Accept", "b")]
+
+
+@pytest.mark.parametrize("value", ["", "a b", "x" * 129, "ü", "a\tb"])
+def test_a_malformed_request_id_is_refused(value):
+    with pytest.raises(RequestError) as caught:
+        headers.request_id_of({headers.REQUEST_ID: value})
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+@pytest.mark.parametrize("value", ["", "-1", "1.5", "1e3", "²", "99999999"])
+def test_a_malformed_timeout_is_refused(value):
+    with pytest.raises(RequestError):
+        headers.timeout_of({headers.TIMEOUT_MS: value}, 2.0)
+
+
+def test_a_caller_may_shorten_the_deadline_but_not_lengthen_it():
+    assert headers.timeout_of({headers.TIMEOUT_MS: "500"}, 2.0) == 0.5
+    assert headers.timeout_of({headers.TIMEOUT_MS: "5000"}, 2.0) == 2.0
+    assert headers.timeout_of({}, 2.0) == 2.0
+
+
+def test_large_headers_are_refused():
+    with pytest.raises(RequestError) as caught:
+        headers.check_headers({"X-Big": "x" * headers.MAX_HEADER_BYTES})
+    assert caught.value.answer.status == 431
--- a/ragwortferry/spread/boot.py
+++ b/ragwortferry/spread/boot.py
@@ -25,8 +25,9 @@
 
     A process that restarts has forgotten which version its slot enforced. Its peers
     have not. It takes the highest version that they know to have been enforced as its
-    floor. If nobody who remembers anything answers within ``wait_s``, the process goes
-    on without a proved floor and reports that.
+    floor. If all listed peers answer and none remembers anything, nothing has ever been
+    enforced. If nobody who remembers answers within ``wait_s``, the process goes on
+    without a proved floor and reports that.
 
     :param seeds: addresses of peers to ask first.
     :param wait_s: seconds to look for peers.
@@ -55,6 +56,7 @@
         self._wait_s = wait_s
         self._done = asyncio.Event()
         self._answers: dict[str, Mark] = {}
+        self._all_answered = False
 
     @property
     def done(self) -> asyncio.Event:
@@ -116,13 +118,12 @@
         while True:
             others = self._others()
             remembering = [mark for mark in self._answers.values() if mark.version]
-            if len(remembering) >= min(FLOOR_ANSWERS, len(others)):
+            self._all_answered = all(item.id in self._answers for item in others)
+            if len(remembering) >= FLOOR_ANSWERS or self._all_answered:
                 return
             asked = [item for item in others if item.id not in self._answers]
             for item in asked[:PROBES_PER_ROUND]:
                 await self._probe(item)
-            if not asked:
-                self._answers.clear()
             await asyncio.sleep(ROUND_PAUSE_S * self._rng.uniform(0.5, 1.0))
 
     def _others(self) -> list[Instance]:
@@ -146,9 +147,8 @@
     def _settle(self) -> None:
         marks = [self._store.high, *self._answers.values()]
         floor = max(marks, key=lambda mark: mark.version)
-        alone = not self._others()
         self._store.set_floor(floor)
-        self._store.floor_proven = alone or floor.version > 0
+        self._store.floor_proven = self._all_answered or floor.version > 0
         self._log.event(
             "floor",
             f"boot floor is version {floor.version}",
--- /dev/null
+++ b/ragwortferry/spread/tests/test_link.py
@@ -0,0 +1,114 @@
+import asyncio
+import random
+import struct
+
+import msgspec
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from ragwortferry.spread.link import (
+    HEADER,
+    MAX_FRAME_BYTES,
+    Link,
+    LinkCounters,
+    LinkError,
+)
+from ragwortferry.spread.messages import (
+    Announce,
+    Bye,
+    Mark,
+    Pull,
+    decode_message,
+    encode_message,
+)
+from ragwortferry.tests.builders import run
+from ragwortferry.utils.clock import HybridClock
+
+
+class Wire:
+    """Two links over a real loopback connection."""
+
+    async def __aenter__(self):
+        accepted = asyncio.get_running_loop().create_future()
+        self._server = await asyncio.start_server(
+            lambda *streams: accepted.set_result(streams), "127.0.0.1", 0
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.raw = await asyncio.open_connection("127.0.0.1", port)
+        self.here = Link(*self.raw, HybridClock(), LinkCounters(), 0.2)
+        self.clock = HybridClock()
+        self.there = Link(*await accepted, self.clock, LinkCounters(), 0.2)
+        return self
+
+    async def __aexit__(self, *_exc):
+        self.here.abort()
+        self.there.abort()
+        self._server.close()
+
+
+def test_messages_arrive_and_move_the_clock():
+    async def scenario():
+        async with Wire() as wire:
+            wire.here._clock.observe((HybridClock().tick()) + (5000 << 16))
+            wire.here.send(Pull(Mark(3, "d"), 4))
+            assert await wire.there.receive() == Pull(Mark(3, "d"), 4)
+            assert wire.clock.tick() > HybridClock().tick() + (4000 << 16)
+
+    run(scenario())
+
+
+def test_a_silent_peer_is_given_up():
+    async def scenario():
+        async with Wire() as wire:
+            with pytest.raises(LinkError, match="silent for 0.2 s"):
+                await wire.there.receive()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        HEADER.pack(MAX_FRAME_BYTES + 1, 0),
+        HEADER.pack(3, 0) + b"\xc1\xc1\xc1",
+        HEADER.pack(0, 0),
+        HEADER.pack(2, 0) + b"\x80\x80",
+        b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+    ],
+)
+def test_garbage_is_a_protocol_error_and_nothing_worse(data):
+    async def scenario():
+        async with Wire() as wire:
+            wire.raw[1].write(data)
+            wire.raw[1].write_eof()
+            with pytest.raises(LinkError):
+                await wire.there.receive()
+
+    run(scenario())
+
+
+@seed(20261203)
+@settings(max_examples=500, deadline=None, database=None)
+@given(st.binary(max_size=64))
+def test_any_bytes_decode_or_raise_a_decode_error(data):
+    try:
+        decode_message(data)
+    except msgspec.DecodeError:
+        pass
+
+
+def test_damaged_messages_decode_or_raise_a_decode_error():
+    rng = random.Random(3)
+    messages = [Bye("x"), Pull(Mark(1, "d"), 2), Announce(Mark(), Mark(1, "e"), 3)]
+    for _ in range(2000):
+        data = bytearray(encode_message(rng.choice(messages)))
+        data[rng.randrange(len(data))] = rng.randrange(256)
+        try:
+            decode_message(bytes(data))
+        except msgspec.DecodeError:
+            pass
+
+
+def test_the_header_is_fixed():
+    assert HEADER.format == ">IQ" and struct.calcsize(">IQ") == 12
