Bar paths that change on the way, and wait for the boot floor before any update

Cause, found by reading: a path with dot segments matched one route and reached the target as another (a payment under an idempotent route); a path of two slashes replaced the host of the target. A process could take an update from a parent that was itself behind before it knew its boot floor. Change: such paths are answered 400, targets are addressed without joining URLs; updates are passed over, and no parent sought, until the floor is known.

--- /dev/null
+++ b/benchmarks/randomised.py
@@ -0,0 +1,472 @@
+"""Runs a fleet under faults drawn by a seed and checks what must always hold.
+
+Prints as its last line one JSON object: seed, faults by kind, requests, answers,
+versions accepted, and violations by invariant. A violation makes the exit code 1.
+"""
+
+__all__ = ["Outcome", "main", "run_seed"]
+
+import asyncio
+import json
+import random
+import signal
+import tempfile
+import time
+from collections import Counter, defaultdict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import fire
+
+from benchmarks.sections import section
+from ragwortferry.composition import EXIT_INVARIANT
+from ragwortferry.record.explain import explain_request, render
+from ragwortferry.record.lines import read_lines
+from ragwortferry.utils.registry import Registry
+from standins.fleet import Fleet, wait_until
+from standins.network import Fault
+from standins.platform import Faults
+from standins.target import Behaviour
+
+INSTANCES = 6
+ZONES = ("zone-a", "zone-b")
+SERVICE = "tablero"
+FAULT_PAUSE_S = (0.3, 1.0)
+FAULT_LENGTH_S = (0.3, 2.0)
+LOAD_WORKERS = 8
+LOAD_PAUSE_S = 0.02
+ANSWER_BOUND_S = 4.0
+LEAVE_BOUND_S = 3.0
+HEAL_BOUND_S = 16.0
+SHOWN_VIOLATIONS = 5
+TIMEOUT_MS = 1_500
+
+FaultAction = Callable[["Run"], Awaitable[None]]
+FAULTS: Registry[FaultAction] = Registry("fault")
+
+
+@dataclass
+class Outcome:
+    """What a run found."""
+
+    seed: int
+    faults: Counter = field(default_factory=Counter)
+    requests: int = 0
+    answers: Counter = field(default_factory=Counter)
+    accepted: int = 0
+    violations: Counter = field(default_factory=Counter)
+    examples: list[str] = field(default_factory=list)
+
+    def violate(self, invariant: str, example: str) -> None:
+        """Count a violation and keep the first examples."""
+        self.violations[invariant] += 1
+        if len(self.examples) < SHOWN_VIOLATIONS:
+            self.examples.append(f"{invariant}: {example}")
+
+
+@dataclass
+class Call:
+    """One request and what its caller got."""
+
+    request_id: str
+    entry: str
+    payment: bool
+    outcome: str
+    status: int
+    version: int
+    digest: str
+    seconds: float
+
+
+class Run:
+    """One randomised run over a fleet."""
+
+    def __init__(self, fleet: Fleet, seed: int):
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.outcome = Outcome(seed)
+        self.calls: list[Call] = []
+        self.digests: dict[int, str] = {}
+        self.bad: set[int] = set()
+        self.version = 0
+        self.paused: set[str] = set()
+        self.down: set[str] = set()
+        self.stops: list[tuple[str, float]] = []
+        self.disturbed: dict[str, float] = defaultdict(float)
+        self._pending: set[asyncio.Task] = set()
+
+    # Versions
+
+    def texts(self, good: bool = True) -> dict[str, bytes]:
+        """Return a document that differs from the last one."""
+        names = [f"{SERVICE}-{n + 1}" for n in range(INSTANCES)]
+        text = section(SERVICE, names, ZONES, edit=self.version % 500)
+        text = text.replace(b"timeout_ms = 2", b"timeout_ms = 1")
+        if not good:
+            text = text.replace(b'service = "tablero"', b'service = "gone"', 1)
+        return {"boards": text}
+
+    def accept(self, good: bool = True) -> None:
+        """Accept the next version."""
+        self.version += 1
+        digest = self.fleet.publish(self.texts(good), self.version)
+        self.digests[self.version] = digest
+        self.outcome.accepted += 1
+        if not good:
+            self.bad.add(self.version)
+
+    # Processes
+
+    def names(self) -> list[str]:
+        """Return the instances whose processes run."""
+        return [n for n in self.fleet.nodes if n not in self.down | self.paused]
+
+    def pick(self) -> str:
+        """Return a running instance; one always stays."""
+        return self.rng.choice(self.names())
+
+    async def respawn(self, name: str) -> None:
+        """Start the process of an instance again once the old one has ended."""
+        process = self.fleet.nodes[name].process
+        code = await process.wait()
+        if code == EXIT_INVARIANT:
+            self.outcome.violate("inside the program", f"{name} ended with {code}")
+        self.down.add(name)
+        await self.fleet.spawn(name)
+        self.down.discard(name)
+        self.disturbed[name] = time.time()
+
+    def later(self, action: Callable[[], Awaitable[None]]) -> None:
+        """Run an action after a drawn time."""
+        delay = self.rng.uniform(*FAULT_LENGTH_S)
+
+        async def wait() -> None:
+            await asyncio.sleep(delay)
+            await action()
+
+        task = asyncio.get_running_loop().create_task(wait())
+        self._pending.add(task)
+        task.add_done_callback(self._pending.discard)
+
+    async def settle(self) -> None:
+        """Wait for the actions that are due."""
+        await asyncio.gather(*self._pending)
+
+    # Load
+
+    async def load(self, worker: int, end: float) -> None:
+        """Send requests until the end, payments and lookups in turns."""
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            payment = number % 2 == 0
+            name = self.rng.choice(list(self.fleet.nodes))
+            await self._one(f"{worker}-{number}", name, payment)
+            await asyncio.sleep(LOAD_PAUSE_S)
+
+    async def _one(self, request_id: str, entry: str, payment: bool) -> None:
+        path = f"/{SERVICE}/pay" if payment else f"/{SERVICE}/{request_id}"
+        method = "POST" if payment else "GET"
+        headers = {"X-Request-Id": request_id}
+        start = time.monotonic()
+        call = Call(request_id, entry, payment, "broken", 0, 0, "", 0.0)
+        try:
+            reply = await self.fleet.call(
+                entry,
+                method,
+                path,
+                headers=headers,
+                data=b"fee" if payment else None,
+                timeout=aiohttp.ClientTimeout(total=15),
+            )
+            call.status = reply.status
+            call.outcome = reply.headers.get("X-Ragwortferry-Outcome", "none")
+            call.version = int(reply.headers.get("X-Ragwortferry-Version", 0))
+            call.digest = reply.headers.get("X-Ragwortferry-Digest", "")
+            self._check_body(call, reply.body)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            pass
+        call.seconds = time.monotonic() - start
+        self.calls.append(call)
+        self._check_time(call)
+
+    def _check_body(self, call: Call, body: bytes) -> None:
+        if call.status == 200 and json.loads(body)["id"] != call.request_id:
+            self.outcome.violate("own whole answer", call.request_id)
+
+    def _check_time(self, call: Call) -> None:
+        """Check that what was given up was answered at once, but by a paused proxy."""
+        quiet = time.time() - self.disturbed[call.entry] > call.seconds + 1
+        if call.outcome != "broken" and quiet and call.entry not in self.paused:
+            if call.seconds > ANSWER_BOUND_S:
+                self.outcome.violate("answered at once", f"{call}")
+
+    # Checks at the end
+
+    def check_requests(self) -> None:
+        """Check ledgers against answers."""
+        runs: Counter = Counter()
+        for node in self.fleet.nodes.values():
+            runs.update(run.request_id for run in node.target.ledger)
+        for call in self.calls:
+            self.outcome.requests += 1
+            self.outcome.answers[call.outcome] += 1
+            count = runs[call.request_id]
+            if call.payment and count > 1:
+                self.outcome.violate("at most once", f"{call} ran {count} times")
+            if call.outcome == "not-run" and count:
+                self.outcome.violate("not run is true", f"{call} ran {count} times")
+            if call.outcome == "ran" and not count:
+                self.outcome.violate("ran is true", f"{call}")
+            if call.digest and self.digests.get(call.version) != call.digest:
+                self.outcome.violate("version names its content", f"{call}")
+            if call.version in self.bad:
+                self.outcome.violate("bad version not enforced", f"{call}")
+
+    def check_versions(self) -> None:
+        """Check the versions that each slot enforced, over all its processes."""
+        for name in self.fleet.nodes:
+            last = 0
+            for event in self.fleet.events(name, "enforced"):
+                version = event["version"]
+                if version < last:
+                    self.outcome.violate(
+                        "never back", f"{name}: {version} after {last}"
+                    )
+                if self.digests[version] != event["digest"]:
+                    self.outcome.violate("one content a version", f"{name}: {version}")
+                if version in self.bad:
+                    self.outcome.violate("bad version not enforced", f"{name}")
+                last = max(last, version)
+
+    def check_stops(self) -> None:
+        """Check that a stopping instance got no work past the bound."""
+        for name, at in self.stops:
+            for run in self.fleet.nodes[name].target.ledger:
+                successors = [
+                    event["timestamp"]
+                    for event in self.fleet.events(name, "started")
+                    if event["timestamp"] > at
+                ]
+                until = min(successors, default=float("inf"))
+                if at + LEAVE_BOUND_S < run.at < until:
+                    self.outcome.violate("no new work while leaving", f"{name}: {run}")
+
+    def explain_examples(self, folder: Path) -> None:
+        """Add the records of the requests that violated something."""
+        for example in list(self.outcome.examples):
+            for call in self.calls:
+                if f"request_id='{call.request_id}'" in example:
+                    lines = read_lines([str(folder)], call.request_id)
+                    text = render(explain_request(call.request_id, lines))
+                    self.outcome.examples.append(text)
+
+
+# Faults
+
+
+@FAULTS.register("accept")
+async def _accept(run: Run) -> None:
+    run.accept()
+
+
+@FAULTS.register("accept-bad")
+async def _accept_bad(run: Run) -> None:
+    run.accept(good=False)
+
+
+@FAULTS.register("kill")
+async def _kill(run: Run) -> None:
+    name = run.pick()
+    if len(run.names()) > 2:
+        await _kill_one(run, name)
+
+
+async def _kill_one(run: Run, name: str) -> None:
+    run.disturbed[name] = time.time()
+    run.down.add(name)
+    run.fleet.kill(name)
+    run.later(lambda: run.respawn(name))
+
+
+@FAULTS.register("kill-herd")
+async def _kill_herd(run: Run) -> None:
+    for name in run.rng.sample(run.names(), max(0, len(run.names()) - 2)):
+        await _kill_one(run, name)
+
+
+@FAULTS.register("stop")
+async def _stop(run: Run) -> None:
+    if len(run.names()) > 2:
+        name = run.pick()
+        run.disturbed[name] = time.time()
+        run.down.add(name)
+        run.stops.append((name, time.time()))
+        run.fleet.signal(name, signal.SIGTERM)
+        run.later(lambda: run.respawn(name))
+
+
+@FAULTS.register("pause")
+async def _pause(run: Run) -> None:
+    if len(run.names()) > 2:
+        name = run.pick()
+        run.paused.add(name)
+        run.fleet.signal(name, signal.SIGSTOP)
+
+        async def resume() -> None:
+            run.fleet.signal(name, signal.SIGCONT)
+            run.disturbed[name] = time.time()
+            run.paused.discard(name)
+
+        run.later(resume)
+
+
+@FAULTS.register("zone-cut")
+async def _zone_cut(run: Run) -> None:
+    numbers = [run.fleet.zone_number(zone) for zone in ZONES]
+    fault = run.rng.choice([Fault.CUT, Fault.SILENT, Fault.SILENT_BACK, Fault.DELAY])
+    others = run.rng.choice([["9"], [numbers[1]], ["9", numbers[1]]])
+    run.fleet.network.separate(numbers[0], others, fault)
+
+    async def heal() -> None:
+        run.fleet.network.heal()
+
+    run.later(heal)
+
+
+@FAULTS.register("platform")
+async def _platform(run: Run) -> None:
+    writes = len(run.fleet.platform._writes)
+    faults = run.rng.choice(
+        [
+            Faults(outage=True),
+            Faults(frozen=True),
+            Faults(rewound=run.rng.randint(max(1, writes // 2), writes)),
+            Faults(delay_s=0.3),
+        ]
+    )
+    run.fleet.platform.set_faults(faults)
+
+    async def heal() -> None:
+        run.fleet.platform.set_faults(Faults())
+
+    run.later(heal)
+
+
+@FAULTS.register("silence")
+async def _silence(run: Run) -> None:
+    front = run.rng.choice(["link", "owner"])
+    run.fleet.nodes[run.pick()].fronts[front].silence_open()
+
+
+@FAULTS.register("reset")
+async def _reset(run: Run) -> None:
+    front = run.rng.choice(["link", "owner"])
+    run.fleet.nodes[run.pick()].fronts[front].reset()
+
+
+@FAULTS.register("target")
+async def _target(run: Run) -> None:
+    node = run.fleet.nodes[run.pick()]
+    node.target.behaviour = run.rng.choice(
+        [
+            Behaviour(reset=True),
+            Behaviour(silent=True),
+            Behaviour(shed=True),
+            Behaviour(delay_s=0.3, slots=2),
+        ]
+    )
+
+    async def heal() -> None:
+        node.target.behaviour = Behaviour()
+
+    run.later(heal)
+
+
+async def _start(run: Run) -> None:
+    fleet = run.fleet
+    for number in range(INSTANCES):
+        zone = ZONES[number % len(ZONES)]
+        await fleet.add(f"{SERVICE}-{number + 1}", zone, SERVICE)
+    run.accept()
+    fleet.list_all()
+    await fleet.spawn_all()
+    await fleet.wait_version(1)
+
+
+async def _heal(run: Run) -> None:
+    """End all faults and check that the fleet converges."""
+    await run.settle()
+    fleet = run.fleet
+    fleet.network.heal()
+    fleet.platform.set_faults(Faults())
+    for proxy in fleet.network.proxies:
+        proxy.reset()
+    run.accept()
+    try:
+        await fleet.wait_version(run.version, bound_s=HEAL_BOUND_S)
+
+        async def complete() -> bool:
+            return (await fleet.status(f"{SERVICE}-1"))["complete"]
+
+        await wait_until(complete, HEAL_BOUND_S, "status is complete")
+    except AssertionError as error:
+        versions = await fleet.versions()
+        run.outcome.violate("in force everywhere", f"{error}: {versions}")
+
+
+async def run_seed(seed: int, seconds: float, folder: Path) -> Outcome:
+    """Run once and return what was found."""
+    async with Fleet(folder, fronted=True) as fleet:
+        run = Run(fleet, seed)
+        await _start(run)
+        end = time.monotonic() + seconds
+        loads = [
+            asyncio.get_running_loop().create_task(run.load(worker, end))
+            for worker in range(LOAD_WORKERS)
+        ]
+        while time.monotonic() < end:
+            kind = run.rng.choice(FAULTS.names)
+            run.outcome.faults[kind] += 1
+            await FAULTS.get(kind)(run)
+            await asyncio.sleep(run.rng.uniform(*FAULT_PAUSE_S))
+        await asyncio.gather(*loads)
+        await _heal(run)
+        run.check_requests()
+        run.check_versions()
+        run.check_stops()
+        run.explain_examples(folder)
+    return run.outcome
+
+
+def main(seed: int = 1, seconds: float = 20.0, keep: str = "") -> None:
+    """Run once.
+
+    :param seed: seed of the faults and the load
+    :param seconds: length of the run
+    :param keep: folder for the logs, a temporary one if empty
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(keep or temporary)
+        outcome = asyncio.run(run_seed(seed, seconds, folder))
+    for example in outcome.examples:
+        print(example)
+    print(
+        json.dumps(
+            {
+                "seed": seed,
+                "faults": outcome.faults,
+                "requests": outcome.requests,
+                "answers": outcome.answers,
+                "accepted": outcome.accepted,
+                "violations": outcome.violations,
+            }
+        )
+    )
+    raise SystemExit(1 if outcome.violations else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/ragwortferry/composition.py
+++ b/ragwortferry/composition.py
@@ -164,7 +164,7 @@
         kernel.add("boot", boot)
         direct = settings.mode == "direct"
         if not direct:
-            seeker = Seeker(kernel, members, peers, log.part("seeker"), rng)
+            seeker = Seeker(kernel, members, peers, boot, log.part("seeker"), rng)
             kernel.add("seeker", seeker)
         bucket = TokenBucket(settings.source_rate, SOURCE_BURST)
         reader = Reader(
--- a/ragwortferry/requests/entry.py
+++ b/ragwortferry/requests/entry.py
@@ -21,6 +21,7 @@
 from ragwortferry.requests.exchange import Attempt, Body, Policy, TargetReply
 from ragwortferry.requests.headers import (
     check_headers,
+    check_path,
     end_to_end,
     request_id_of,
     timeout_of,
@@ -34,6 +35,7 @@
 from ragwortferry.spread.store import VersionStore
 
 FREE_RETRIES = 2
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 _FREE = (
     ErrorKind.LEAVING,
@@ -141,6 +143,7 @@
         record.method, record.path = request.method, str(request.rel_url)
         record.request_id = request_id_of(request.headers)
         check_headers(request.headers)
+        check_path(request.path)
         snapshot = self._store.snapshot
         if snapshot is None:
             raise RequestError(ErrorKind.NO_CONFIGURATION, "no version is in force")
@@ -164,6 +167,8 @@
     async def _read_body(self, request: web.BaseRequest, deadline: float) -> Body:
         if not request.can_read_body:
             return Body(b"", None)
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            request.transport.write(CONTINUE)
         try:
             async with asyncio.timeout_at(deadline):
                 return await Body.read(request.content)
--- a/ragwortferry/requests/headers.py
+++ b/ragwortferry/requests/headers.py
@@ -17,6 +17,7 @@
     "VERSION",
     "ZONE",
     "check_headers",
+    "check_path",
     "end_to_end",
     "request_id_of",
     "timeout_of",
@@ -71,6 +72,7 @@
         "expect",
     )
 )
+_DOTS = frozenset((".", ".."))
 _INTERNAL = "x-ragwortferry-"
 _TARGET_ONLY = frozenset((TARGET_REFUSED.lower(), TARGET_LEAVING.lower()))
 
@@ -89,6 +91,18 @@
     return copy
 
 
+def check_path(path: str) -> None:
+    """Refuse a path that could reach a target as another one.
+
+    :param path: decoded path.
+    :raises RequestError: of kind ``BAD_REQUEST``.
+    """
+    segments = path.split("/")
+    rooted = path.startswith("/") and not path.startswith("//")
+    if not rooted or not _DOTS.isdisjoint(segments):
+        raise RequestError(ErrorKind.BAD_REQUEST, "malformed path")
+
+
 def check_headers(headers: Mapping[str, str]) -> None:
     """Refuse a request whose headers are too large together.
 
--- a/ragwortferry/requests/target.py
+++ b/ragwortferry/requests/target.py
@@ -37,7 +37,7 @@
 
     def __init__(self, address: str, host: str):
         self._host = host
-        self._base = URL(f"http://{address}") if address else None
+        self._base = f"http://{address}" if address else None
         self._slots = Slots()
         self._connections = 0
         self._pool: Pool | None = None
@@ -125,7 +125,7 @@
             async with asyncio.timeout(left):
                 pooled = await pool.request(
                     attempt.method,
-                    self._base.join(URL(attempt.path, encoded=True)),
+                    URL(self._base + attempt.path, encoded=True),
                     headers=headers,
                     data=attempt.body.data(),
                     timeout=timeout,
--- a/ragwortferry/requests/tests/test_headers.py
+++ b/ragwortferry/requests/tests/test_headers.py
@@ -49,6 +49,18 @@
     assert headers.timeout_of({}, 2.0) == 2.0
 
 
+@pytest.mark.parametrize("path", ["x", "", "//evil/x", "/a/../pay", "/a/.", "/.."])
+def test_a_path_that_could_become_another_is_refused(path):
+    with pytest.raises(RequestError) as caught:
+        headers.check_path(path)
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+@pytest.mark.parametrize("path", ["/", "/a", "/a/b.c/..d", "/a//b"])
+def test_an_ordinary_path_passes(path):
+    headers.check_path(path)
+
+
 def test_large_headers_are_refused():
     with pytest.raises(RequestError) as caught:
         headers.check_headers({"X-Big": "x" * headers.MAX_HEADER_BYTES})
--- a/ragwortferry/requests/tests/test_processes.py
+++ b/ragwortferry/requests/tests/test_processes.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import pytest
+from yarl import URL
 
 from ragwortferry.record.explain import explain_request
 from ragwortferry.record.lines import read_lines
@@ -414,6 +415,7 @@
             cases = {
                 ("GET", "/nowhere"): (404, {}),
                 ("PUT", "/tablero"): (405, {}),
+                ("GET", URL("/tablero/%2e%2e/pay", encoded=True)): (400, {}),
                 ("GET", "/tablero?1"): (400, {"X-Request-Id": "a b"}),
                 ("GET", "/tablero?2"): (400, {"X-Request-Timeout-Ms": "soon"}),
                 ("GET", "/tablero?3"): (431, {"X-Big": "x" * 20_000}),
--- a/ragwortferry/spread/peers.py
+++ b/ragwortferry/spread/peers.py
@@ -384,6 +384,8 @@
 
     @handles(Update)
     async def _on_update(self, peer: Peer, message: Update) -> None:
+        if not self._store.ready:
+            return
         if self._store.check_order(message.mark):
             self._report_conflict(peer, message.mark)
             self._ack(peer)
--- a/ragwortferry/spread/seeker.py
+++ b/ragwortferry/spread/seeker.py
@@ -9,6 +9,7 @@
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log
 from ragwortferry.source.port import Instance
+from ragwortferry.spread.boot import Boot
 from ragwortferry.spread.link import LinkError
 from ragwortferry.spread.members import Members
 from ragwortferry.spread.messages import Mode
@@ -35,17 +36,23 @@
         kernel: Kernel,
         members: Members,
         peers: Peers,
+        boot: Boot,
         log: Log,
         rng: random.Random,
     ):
         self._kernel = kernel
         self._members = members
         self._peers = peers
+        self._boot = boot
         self._log = log
         self._rng = rng
 
     async def start(self) -> None:
-        """Start to look for links."""
+        """Start to look for links once the boot floor is known."""
+        self._kernel.spawn(self._seek(), "seeker")
+
+    async def _seek(self) -> None:
+        await self._boot.done.wait()
         self._kernel.spawn(self._keep_parent(), "parent")
         self._kernel.spawn(self._keep_lazy(), "lazy link")
         self._kernel.spawn(self._keep_remote(), "zone links")
--- a/ragwortferry/spread/store.py
+++ b/ragwortferry/spread/store.py
@@ -67,6 +67,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._high = NOTHING
         self._floor = NOTHING
+        self._ready = False
         self.enforced_at = 0.0
         self.floor_proven = True
 
@@ -86,6 +87,11 @@
         """Return the highest version that any process is known to have enforced."""
         return self._high
 
+    @property
+    def ready(self) -> bool:
+        """Return whether the boot floor is set, before which nothing is enforced."""
+        return self._ready
+
     @property
     def refusal(self) -> Refusal | None:
         """Return the highest refusal that is above the version in force."""
@@ -121,6 +127,7 @@
     def set_floor(self, floor: Mark) -> None:
         """Refuse from now on whatever lies below ``floor``."""
         self._floor = floor
+        self._ready = True
         self.observe_high(floor)
 
     def check_order(self, mark: Mark) -> str | None:
--- /dev/null
+++ b/ragwortferry/spread/tests/test_peers.py
@@ -0,0 +1,116 @@
+from msgspec import structs
+
+from ragwortferry.spread.members import Members
+from ragwortferry.spread.messages import Ack, Mark, Mode, Pull, Update
+from ragwortferry.spread.peers import Peer, Peers, SpreadTimes
+from ragwortferry.tests.builders import (
+    enforce,
+    instance,
+    kernel,
+    log,
+    rng,
+    run,
+    section,
+    store,
+)
+from ragwortferry.utils.clock import HybridClock
+
+TEXTS = {"a": section(), "b": section("archivo")}
+
+
+class FakeLink:
+    """A link that keeps what is sent."""
+
+    closed = False
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def of(self, kind):
+        return [message for message in self.sent if isinstance(message, kind)]
+
+
+def peers_with(held):
+    members = Members(instance("i-1"), fanout=4, readers=2)
+    times = SpreadTimes()
+    return Peers(kernel(), members, held, HybridClock(), log(), times, "mesh", 2, rng())
+
+
+def child(mark=None):
+    peer = Peer(FakeLink(), instance("i-2"), "x", False, Mode.ACTIVE)
+    peer.mark = mark or Mark()
+    return peer
+
+
+async def update_from(version=1):
+    parent = store()
+    await enforce(parent, TEXTS, version)
+    return parent.update_for(Mark())
+
+
+def test_nothing_is_enforced_before_the_boot_floor_is_known():
+    async def scenario():
+        held = store()
+        peers, parent = peers_with(held), child()
+        await peers._handle(parent, await update_from())
+        assert held.snapshot is None
+        held.set_floor(Mark())
+        await peers._handle(parent, await update_from())
+        assert held.mark.version == 1
+
+    run(scenario())
+
+
+def test_one_update_is_in_flight_and_the_newest_overtakes():
+    async def scenario():
+        held = store()
+        peers, peer = peers_with(held), child()
+        await enforce(held, TEXTS, 1)
+        peers._push(peer)
+        for version in (2, 3, 4):
+            await enforce(held, {**TEXTS, "a": section(timeout_ms=version)}, version)
+            peers._push(peer)
+        assert [update.mark.version for update in peer.link.of(Update)] == [1]
+        await_mark = peer.link.of(Update)[0].mark
+        peers._on_ack(peer, Ack(await_mark, 1, 0))
+        (first, second) = peer.link.of(Update)
+        assert second.mark.version == 4 and second.base == first.mark
+        assert list(second.changed) == ["a"]
+
+    run(scenario())
+
+
+def test_an_update_from_another_base_is_answered_by_a_pull():
+    async def scenario():
+        held = store()
+        held.set_floor(Mark())
+        peers, parent = peers_with(held), child()
+        update = structs.replace(await update_from(3), base=Mark(2, "other"))
+        await peers._handle(parent, update)
+        assert parent.link.of(Pull) and held.snapshot is None
+
+    run(scenario())
+
+
+def test_a_peer_that_refused_for_good_gets_no_update_again():
+    async def scenario():
+        held = store()
+        peers, peer = peers_with(held), child()
+        await enforce(held, TEXTS, 1)
+        peers._push(peer)
+        peers._on_ack(peer, Ack(Mark(), 1, 0))
+        peers._push(peer)
+        assert len(peer.link.of(Update)) == 1
+
+    run(scenario())
+
+
+def test_a_full_parent_turns_an_active_child_away_but_not_a_probe():
+    held = store()
+    peers = peers_with(held)
+    peers._peers = {child(), child()}
+    assert not peers._has_room(Mode.ACTIVE)
+    assert peers._has_room(Mode.PROBE) and peers._has_room(Mode.LAZY)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,11 +16,12 @@
 
 import aiohttp
 import msgspec
+from yarl import URL
 
 from ragwortferry.document.models import Manifest, encode_manifest
 from ragwortferry.source.port import ACCEPTED_KEY, Instance, section_key
 from ragwortferry.utils.digests import content_digest
-from standins.network import Network
+from standins.network import FaultProxy, Network
 from standins.platform import Platform, PlatformServer
 from standins.target import Target, TargetServer
 
@@ -131,6 +132,7 @@
         self.platform = Platform(lag_s=lag_s)
         self.server = PlatformServer(self.platform)
         self.network = Network()
+        self.platform_front: FaultProxy | None = None
         self.nodes: dict[str, Node] = {}
         self.manifest: Manifest | None = None
         self.settings: dict[str, object] = dict(FAST)
@@ -139,7 +141,7 @@
         host = f"127.{PLATFORM_ZONE}.0.1"
         port, front = free_ports(host, 2)
         await self.server.start(host, port)
-        await self.network.front(host, front, port)
+        self.platform_front = await self.network.front(host, front, port)
         self._platform_port = front
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
@@ -259,7 +261,8 @@
 
     async def call(self, name: str, method: str, path: str, **options) -> Answer:
         """Send a request to the proxy of an instance."""
-        return await call(self._session, method, self.nodes[name].url + path, **options)
+        url = URL(f"{self.nodes[name].url}{path}", encoded=True)
+        return await call(self._session, method, url, **options)
 
     async def state(self, name: str) -> dict:
         """Return the state of one process, empty if it does not answer."""
--- a/standins/network.py
+++ b/standins/network.py
@@ -89,6 +89,8 @@
         self._tasks: set[asyncio.Task] = set()
         self.fault = Fault.PASS
         self.accepted = 0
+        self.bytes_there = 0
+        self.bytes_back = 0
 
     async def start(self, port: int) -> None:
         """Listen."""
@@ -177,9 +179,16 @@
             if not chunk:
                 writer.write_eof()
                 return
+            self._count(len(chunk), there)
             writer.write(chunk)
             await writer.drain()
 
+    def _count(self, size: int, there: bool) -> None:
+        if there:
+            self.bytes_there += size
+        else:
+            self.bytes_back += size
+
     async def _stay_silent(self, reader) -> None:
         """Swallow everything, the end included, until the proxy is reset."""
         while await reader.read(CHUNK_BYTES):
