Bound the control bytes of a zone's root, and register links at once

Three causes, found by message counters and by status ages that grew though reports came: - a child could have two active links to one parent: the seeker looked again before the task of the new link had registered it. Reports then went over either link, and the stale one kept the age growing. - each report of a child made its root send a new summary to all zones; - heartbeats carried two digests each. Ruled out: updates (0.8 KB each). A test had passed by luck: zones were cut before they had heard of each other; it now waits until the status is complete, then cuts.

--- a/benchmarks/convergence.py
+++ b/benchmarks/convergence.py
@@ -68,7 +68,7 @@
         await fleet.add(f"i-{number}", zone, "none")
     fleet.list_all()
     names = list(fleet.nodes)
-    times = {"heartbeat_s": 2.0, "silence_s": 6.0, "repair_s": 1.0, "status_s": 5.0}
+    times = {"heartbeat_s": 2.0, "silence_s": 6.0, "repair_s": 1.0, "status_s": 10.0}
     for at in range(0, len(names), START_BATCH):
         for name in names[at : at + START_BATCH]:
             await fleet.spawn(name, mode=mode, source_rate=100.0, **times)
@@ -121,7 +121,7 @@
     zones = sorted({node.instance.zone for node in fleet.nodes.values()})
     texts[name] = section(name, upstreams, zones, edit=version)
     accepted = time.time()
-    fleet.publish(texts, version)
+    fleet.publish(texts, version, short=True)
     return accepted
 
 
--- a/ragwortferry/cli.py
+++ b/ragwortferry/cli.py
@@ -56,7 +56,11 @@
 
 @one_line_errors
 def check(
-    directory: str, against: str = "", source: str = "", version: int = 0
+    directory: str,
+    against: str = "",
+    source: str = "",
+    version: int = 0,
+    short: bool = False,
 ) -> None:
     """Check a document before it is accepted and print the manifest to publish.
 
@@ -66,10 +70,11 @@
     :param against: older manifest to compare with, instead of accepted.json
     :param source: platform to ask which version is accepted by now
     :param version: number of the new version, 0 for the next one
+    :param short: print the short form to accept, beside the manifest under its digest
     """
     from ragwortferry.document.check import run_check
 
-    raise SystemExit(run_check(str(directory), against, source, version))
+    raise SystemExit(run_check(str(directory), against, source, version, short))
 
 
 @one_line_errors
--- a/ragwortferry/document/check.py
+++ b/ragwortferry/document/check.py
@@ -7,18 +7,22 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+import msgspec
 from expression import Error, Result
 
 from ragwortferry.document.models import (
     Manifest,
+    Pointer,
+    decode_accepted,
     decode_manifest,
     decode_section,
     encode_manifest,
+    make_pointer,
 )
 from ragwortferry.document.snapshot import Section, Snapshot, build_snapshot
 from ragwortferry.exceptions import RagwortferryError, SettingsError
 from ragwortferry.source import directory, http  # noqa: F401 (they register adapters)
-from ragwortferry.source.port import ACCEPTED_KEY, open_source
+from ragwortferry.source.port import ACCEPTED_KEY, manifest_key, open_source
 from ragwortferry.utils.digests import content_digest
 
 EXIT_REFUSED = 1
@@ -37,14 +41,11 @@
     return texts
 
 
-def _load_manifest(path: Path) -> Manifest | None:
+def _load_manifest(path: Path) -> Manifest:
+    """Return the manifest in a file."""
     if not path.exists():
-        return None
-    data = path.read_bytes()
-    if not data:
-        hint = "write the manifest to another file first, then move it here"
-        raise RagwortferryError(f"{path} is empty; {hint}")
-    result = decode_manifest(data)
+        raise SettingsError(f"--against: {path} is not there")
+    result = decode_manifest(path.read_bytes())
     if result.is_error():
         raise RagwortferryError(f"{path}: {result.error}")
     return result.ok
@@ -65,13 +66,14 @@
     )
 
 
-def run_check(path: str, against: str, source: str, version: int) -> int:
+def run_check(
+    path: str, against: str, source: str, version: int, short: bool = False
+) -> int:
     """Print the report and the manifest; return the exit code."""
     folder = Path(path)
     texts = load_directory(folder)
-    base = _load_manifest(Path(against) if against else folder / "accepted.json")
-    if against and base is None:
-        raise SettingsError(f"--against: {against} is not there")
+    own = asyncio.run(_read_accepted(f"dir:{folder}"))
+    base = _load_manifest(Path(against)) if against else own
     current = asyncio.run(_read_accepted(source)) if source else base
     digests = {name: content_digest(text) for name, text in texts.items()}
     moved = _moved(base, current, digests)
@@ -85,25 +87,39 @@
     match result:
         case Result(tag="ok", ok=snapshot) if not moved:
             _report_accepted(snapshot, base)
-            print(encode_manifest(manifest).decode())
+            print(_printed(manifest, current, short))
             return 0
         case Result(tag="error", error=reason):
             _report(f"every proxy would refuse version {manifest.version}: {reason}")
     return EXIT_REFUSED
 
 
+def _printed(manifest: Manifest, current: Manifest | None, short: bool) -> str:
+    """Return the text to publish."""
+    if short:
+        return msgspec.json.encode(make_pointer(manifest, current)).decode()
+    return encode_manifest(manifest).decode()
+
+
 async def _read_accepted(address: str) -> Manifest | None:
+    """Return the accepted manifest of a source, ``None`` if there is none yet."""
     source = open_source(address)
     try:
         value = await source.read(ACCEPTED_KEY)
+        if value is None:
+            return None
+        if not value.data:
+            hint = "write the manifest to another file first, then move it here"
+            raise RagwortferryError(f"{address}: accepted.json is empty; {hint}")
+        accepted = decode_accepted(value.data)
+        if isinstance(accepted.default_value(None), Pointer):
+            full = await source.read(manifest_key(accepted.ok.digest))
+            accepted = decode_manifest(full.data if full else b"")
     finally:
         await source.close()
-    if value is None:
-        return None
-    result = decode_manifest(value.data)
-    if result.is_error():
-        raise RagwortferryError(f"{address}: {result.error}")
-    return result.ok
+    if accepted.is_error():
+        raise RagwortferryError(f"{address}: {accepted.error}")
+    return accepted.ok
 
 
 def _moved(
--- a/ragwortferry/document/models.py
+++ b/ragwortferry/document/models.py
@@ -3,13 +3,17 @@
 __all__ = [
     "MAX_SECTION_BYTES",
     "Manifest",
+    "Pointer",
     "RouteModel",
     "SectionModel",
     "ServiceModel",
     "UpstreamModel",
+    "decode_accepted",
     "decode_manifest",
     "decode_section",
     "encode_manifest",
+    "make_pointer",
+    "resolve_pointer",
 ]
 
 import tomllib
@@ -19,6 +23,8 @@
 from expression import Error, Ok, Result
 from msgspec import Meta, Struct
 
+from ragwortferry.utils.digests import content_digest
+
 MAX_SECTION_BYTES = 1_000_000
 MAX_SECTIONS = 4_096
 
@@ -106,6 +112,43 @@
     sections: Annotated[dict[Name, Digest], Meta(min_length=1, max_length=MAX_SECTIONS)]
 
 
+class Pointer(Struct, forbid_unknown_fields=True, frozen=True):
+    """A short form of a manifest: the difference from the version it was made from.
+
+    It spares readers the digests of all sections at each change. The manifest itself is
+    published beside it, under its digest.
+
+    :param digest: digest of the manifest.
+    :param changed: digests of the new and changed sections.
+    :param removed: names of the sections that are gone.
+    """
+
+    version: Version
+    base: Annotated[int, Meta(ge=0)]
+    digest: Digest
+    changed: dict[Name, Digest]
+    removed: tuple[Name, ...] = ()
+
+
+def make_pointer(manifest: Manifest, base: Manifest | None) -> Pointer:
+    """Return the short form of a manifest against the one it was made from."""
+    old = base.sections if base else {}
+    new = manifest.sections
+    changed = {name: digest for name, digest in new.items() if old.get(name) != digest}
+    removed = tuple(sorted(old.keys() - new.keys()))
+    digest = content_digest(encode_manifest(manifest))
+    return Pointer(manifest.version, manifest.base, digest, changed, removed)
+
+
+def resolve_pointer(pointer: Pointer, base: Manifest) -> Manifest | None:
+    """Return the manifest that a pointer leads to from ``base``, if it fits."""
+    sections = {k: v for k, v in base.sections.items() if k not in pointer.removed}
+    sections.update(pointer.changed)
+    manifest = Manifest(pointer.version, pointer.base, sections)
+    fits = content_digest(encode_manifest(manifest)) == pointer.digest
+    return manifest if fits else None
+
+
 def decode_section(name: str, data: bytes) -> Result[SectionModel, str]:
     """Parse and validate the text of a section.
 
@@ -142,6 +185,15 @@
     return f"field {path.lstrip('.')}, value {str(value)[:80]!r}: {rule}"
 
 
+def decode_accepted(data: bytes) -> Result[Manifest | Pointer, str]:
+    """Parse and validate what is accepted: a manifest or its short form."""
+    try:
+        is_short = "digest" in msgspec.json.decode(data)
+        return Ok(msgspec.json.decode(data, type=Pointer if is_short else Manifest))
+    except (msgspec.DecodeError, TypeError) as error:
+        return Error(f"manifest: {error}")
+
+
 def decode_manifest(data: bytes) -> Result[Manifest, str]:
     """Parse and validate the JSON text of a manifest."""
     try:
--- a/ragwortferry/document/tests/test_document.py
+++ b/ragwortferry/document/tests/test_document.py
@@ -1,12 +1,16 @@
+import msgspec
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
 from ragwortferry.document.models import (
     MAX_SECTION_BYTES,
+    decode_accepted,
     decode_manifest,
     decode_section,
     encode_manifest,
+    make_pointer,
+    resolve_pointer,
 )
 from ragwortferry.document.snapshot import Section, build_snapshot
 from ragwortferry.tests.builders import manifest, section
@@ -118,6 +122,18 @@
     assert decode_manifest(text).error.startswith("manifest: ")
 
 
+def test_a_pointer_leads_from_its_base_and_from_no_other():
+    old = manifest({"a": section(), "b": section("archivo")}, 1)
+    new = manifest({"a": section(timeout_ms=9), "c": section("otro")}, 2, base=1)
+    pointer = make_pointer(new, old)
+    assert pointer.changed.keys() == {"a", "c"} and pointer.removed == ("b",)
+    assert resolve_pointer(pointer, old) == new
+    assert resolve_pointer(pointer, manifest({"x": section()}, 1)) is None
+    assert decode_accepted(msgspec.json.encode(pointer)).ok == pointer
+    assert decode_accepted(encode_manifest(new)).ok == new
+    assert decode_accepted(b"[]").is_error() and decode_accepted(b"7").is_error()
+
+
 SERVICES = ("s1", "s2", "s3")
 
 
--- a/ragwortferry/settings.py
+++ b/ragwortferry/settings.py
@@ -71,7 +71,7 @@
     heartbeat_s: Seconds = 2.0
     silence_s: Seconds = 6.0
     repair_s: Seconds = 1.0
-    status_s: Seconds = 5.0
+    status_s: Seconds = 10.0
     boot_wait_s: Seconds = 3.0
     drain_s: Seconds = 3_600.0
     leave_s: Annotated[float, Meta(ge=0, le=600)] = 1.0
--- a/ragwortferry/source/directory.py
+++ b/ragwortferry/source/directory.py
@@ -24,7 +24,8 @@
     """Reads ``accepted.json``, ``instances.json`` and ``SECTION.toml`` of a directory.
 
     A published section may also lie beside its successor, as ``SECTION.DIGEST.toml``
-    with the first twelve digits of its digest.
+    with the first twelve digits of its digest; the manifest of a short form of
+    ``accepted.json`` lies there as ``manifest.DIGEST.json``.
 
     :param path: the directory.
     :param host: not used.
@@ -36,6 +37,8 @@
     def _file(self, key: str) -> Path:
         if key == ACCEPTED_KEY:
             return self._path / "accepted.json"
+        if key.startswith("manifests/"):
+            return self._path / f"manifest.{key.rpartition('/')[2][:12]}.json"
         _, name, digest = key.split("/")
         kept = self._path / f"{name}.{digest[:12]}.toml"
         return kept if kept.exists() else self._path / f"{name}.toml"
--- a/ragwortferry/source/port.py
+++ b/ragwortferry/source/port.py
@@ -7,6 +7,7 @@
     "Source",
     "Value",
     "SOURCES",
+    "manifest_key",
     "open_source",
     "section_key",
 ]
@@ -31,6 +32,11 @@
     return f"sections/{name}/{digest}"
 
 
+def manifest_key(digest: str) -> str:
+    """Return the key under which the manifest of a short form is published."""
+    return f"manifests/{digest}"
+
+
 @dataclass(frozen=True, slots=True)
 class Value:
     """A value read from the platform and its revision, which grows with each write."""
--- a/ragwortferry/spread/messages.py
+++ b/ragwortferry/spread/messages.py
@@ -3,6 +3,7 @@
 __all__ = [
     "Ack",
     "Announce",
+    "Beat",
     "Bye",
     "FleetReport",
     "Hello",
@@ -91,13 +92,17 @@
 
 
 class Announce(Struct, tag="announce", tag_field="t", frozen=True, array_like=True):
-    """Heartbeat: what the sender enforces and knows."""
+    """What the sender enforces and knows, sent when it changes."""
 
     mark: Mark
     high: Mark
     list_revision: int
 
 
+class Beat(Struct, tag="beat", tag_field="t", frozen=True):
+    """Heartbeat while nothing has changed since the last ``Announce``."""
+
+
 class Pull(Struct, tag="pull", tag_field="t", frozen=True):
     """Asks for all that the sender lacks, in one exchange."""
 
@@ -218,6 +223,7 @@
     Hello
     | Welcome
     | Subscribe
+    | Beat
     | Pull
     | Update
     | Ack
--- a/ragwortferry/spread/peer.py
+++ b/ragwortferry/spread/peer.py
@@ -7,7 +7,7 @@
 
 from ragwortferry.source.port import Instance
 from ragwortferry.spread.link import Link
-from ragwortferry.spread.messages import Mark, Mode
+from ragwortferry.spread.messages import Announce, Mark, Mode
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +23,7 @@
     heartbeat: float = 2.0
     silence: float = 6.0
     repair: float = 1.0
-    status: float = 5.0
+    status: float = 10.0
 
     @property
     def report_delay(self) -> float:
@@ -35,6 +35,11 @@
         """Return how long summaries of zones wait for others to join them."""
         return self.status / 10
 
+    @property
+    def summary_pause(self) -> float:
+        """Return the least time between two summaries of the own zone."""
+        return self.status / 2
+
 
 @dataclass(slots=True, eq=False)
 class Peer:
@@ -53,6 +58,7 @@
     mode: Mode
     mark: Mark = field(default_factory=Mark)
     settled: int = 0
+    announced: Announce | None = None
     noticed: tuple[Mark, str] | None = None
     list_revision: int = 0
     in_flight: bool = False
--- a/ragwortferry/spread/peers.py
+++ b/ragwortferry/spread/peers.py
@@ -18,6 +18,7 @@
     PROTOCOL,
     Ack,
     Announce,
+    Beat,
     Bye,
     FleetReport,
     Hello,
@@ -195,6 +196,7 @@
         accepted = self._has_room(peer.mode)
         link.send(self._welcome(accepted))
         if accepted and peer.mode is not Mode.PROBE:
+            self.register(peer)
             await self.serve(peer)
         link.close()
 
@@ -221,9 +223,22 @@
             redirect,
         )
 
-    async def serve(self, peer: Peer) -> None:
-        """Handle the messages of a peer until its link ends."""
+    def register(self, peer: Peer) -> None:
+        """Count a link among the open ones; an older one in its place is dropped."""
+        for other in self.peers:
+            same_end = other.instance.id == peer.instance.id
+            same_use = (other.outgoing, other.mode) == (peer.outgoing, peer.mode)
+            if same_end and same_use:
+                other.link.abort()
+                self._forget(other)
         self._peers.add(peer)
+
+    def _forget(self, peer: Peer) -> None:
+        self._peers.discard(peer)
+        self.reporter.link_down(peer)
+
+    async def serve(self, peer: Peer) -> None:
+        """Handle the messages of a registered peer until its link ends."""
         side = "parent" if peer.outgoing else "child"
         self._log.event(
             "link-up", f"{peer.mode} link", peer=peer.instance.id, side=side
@@ -240,8 +255,7 @@
         except msgspec.DecodeError as error:
             reason = f"protocol error: {error}"
         finally:
-            self._peers.discard(peer)
-            self.reporter.link_down(peer)
+            self._forget(peer)
             peer.link.abort()
             self._log.event(
                 "link-down", "link ended", peer=peer.instance.id, reason=reason
@@ -259,10 +273,10 @@
 
     def _version_changed(self) -> None:
         self._push_all()
-        announce = self._announce()
+        announce = self._announcement()
         for peer in self._peers:
             if not peer.is_child:
-                peer.link.send(announce)
+                self._announce(peer, announce)
         self.reporter.report_soon()
 
     def _push_all(self) -> None:
@@ -307,6 +321,10 @@
             peer.list_revision = message.list_revision
         self._consider_repair(peer)
 
+    @handles(Beat)
+    def _on_beat(self, peer: Peer, message: Beat) -> None:
+        self._consider_repair(peer)
+
     @handles(Pull)
     def _on_pull(self, peer: Peer, message: Pull) -> None:
         peer.mark, peer.settled = message.mark, message.mark.version
@@ -373,7 +391,7 @@
 
     @handles(FleetReport)
     def _on_fleet(self, peer: Peer, message: FleetReport) -> None:
-        self.reporter.take_fleet(message)
+        self.reporter.take_fleet(peer, message)
 
     @handles(Subscribe)
     def _on_subscribe(self, peer: Peer, message: Subscribe) -> None:
@@ -431,13 +449,20 @@
 
     # Periodic work
 
-    def _announce(self) -> Announce:
+    def _announcement(self) -> Announce:
         store = self._store
         return Announce(store.mark, store.high, self._members.revision)
 
+    def _announce(self, peer: Peer, announce: Announce) -> None:
+        peer.announced = announce
+        peer.link.send(announce)
+
     async def _heartbeat(self) -> None:
         while True:
             await asyncio.sleep(self._times.heartbeat * self._rng.uniform(0.8, 1.0))
-            announce = self._announce()
+            announce = self._announcement()
             for peer in self.peers:
-                peer.link.send(announce)
+                if peer.announced == announce:
+                    peer.link.send(Beat())
+                else:
+                    self._announce(peer, announce)
--- a/ragwortferry/spread/reader.py
+++ b/ragwortferry/spread/reader.py
@@ -10,13 +10,22 @@
 from ragwortferry.document.models import (
     MAX_SECTION_BYTES,
     Manifest,
+    Pointer,
+    decode_accepted,
     decode_manifest,
     encode_manifest,
+    resolve_pointer,
 )
 from ragwortferry.exceptions import SourceError
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log
-from ragwortferry.source.port import ACCEPTED_KEY, Source, Value, section_key
+from ragwortferry.source.port import (
+    ACCEPTED_KEY,
+    Source,
+    Value,
+    manifest_key,
+    section_key,
+)
 from ragwortferry.spread.boot import Boot
 from ragwortferry.spread.members import Members
 from ragwortferry.spread.messages import Mark
@@ -140,13 +149,11 @@
         return value.revision
 
     async def _offer(self, value: Value) -> None:
-        manifest = decode_manifest(value.data)
-        if manifest.is_error():
-            mark = Mark(self._store.mark.version, content_digest(value.data))
-            self._log.event("refused", "manifest refused", reason=manifest.error)
-            raise SourceError(f"{manifest.error} (digest {mark.digest[:12]})")
-        manifest = manifest.ok
-        mark = Mark(manifest.version, content_digest(encode_manifest(manifest)))
+        accepted = decode_accepted(value.data)
+        if accepted.is_error():
+            self._log.event("refused", "manifest refused", reason=accepted.error)
+            raise SourceError(accepted.error)
+        mark = _mark_of(accepted.ok)
         order = self._store.check_order(mark)
         if order:
             self._log.event(
@@ -158,8 +165,28 @@
         self._log.event(
             "accepted-seen", f"version {mark.version} read", version=mark.version
         )
+        manifest = await self._manifest_of(accepted.ok)
         await self._fetch_and_apply(manifest, mark)
 
+    async def _manifest_of(self, accepted: Manifest | Pointer) -> Manifest:
+        """Return the manifest itself, worked out or read for a short form."""
+        if isinstance(accepted, Manifest):
+            return accepted
+        held = self._store.snapshot
+        if held and held.version == accepted.base:
+            manifest = resolve_pointer(accepted, held.manifest)
+            if manifest:
+                return manifest
+        await self._call()
+        value = await self._source.read(manifest_key(accepted.digest))
+        manifest = decode_manifest(value.data) if value else Error("it is missing")
+        if manifest.is_error() or _mark_of(manifest.ok) != _mark_of(accepted):
+            reason = manifest.error if manifest.is_error() else "it is another one"
+            text = f"manifest {accepted.digest[:12]}: {reason}"
+            self._store.refuse(Refusal(_mark_of(accepted), text, final=False))
+            raise SourceError(text)
+        return manifest.ok
+
     async def _fetch_and_apply(self, manifest: Manifest, mark: Mark) -> None:
         texts = await self._fetch_sections(manifest)
         match texts:
@@ -216,3 +243,9 @@
             return after
         self._members.apply(change)
         return change.revision
+
+
+def _mark_of(accepted: Manifest | Pointer) -> Mark:
+    if isinstance(accepted, Pointer):
+        return Mark(accepted.version, accepted.digest)
+    return Mark(accepted.version, content_digest(encode_manifest(accepted)))
--- a/ragwortferry/spread/reporting.py
+++ b/ragwortferry/spread/reporting.py
@@ -3,12 +3,18 @@
 __all__ = ["Reporter"]
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable
 
 from ragwortferry.kernel import Kernel
 from ragwortferry.spread.members import Members
-from ragwortferry.spread.messages import FleetReport, SubtreeReport, ZoneSummary
+from ragwortferry.spread.messages import (
+    FleetReport,
+    Mode,
+    SubtreeReport,
+    ZoneSummary,
+)
 from ragwortferry.spread.peer import Peer, SpreadTimes
 from ragwortferry.spread.status import Fleet, StatusTable
 from ragwortferry.spread.store import VersionStore
@@ -39,7 +45,8 @@
         self._peers = peers
         self._report_due: asyncio.TimerHandle | None = None
         self._fleet_due: asyncio.TimerHandle | None = None
-        self._fresh_zones: dict[str, ZoneSummary] = {}
+        self._fresh_zones: dict[str, tuple[ZoneSummary, Peer | None]] = {}
+        self._summary_at = -math.inf
         self.table = StatusTable(members, store)
         self.fleet = Fleet(members)
 
@@ -70,19 +77,23 @@
 
     def take_report(self, peer: Peer, report: SubtreeReport) -> None:
         """Take in the report of a child."""
-        self.table.take(id(peer), report)
-        self.report_soon()
+        if self.table.take(id(peer), report):
+            self.report_soon()
 
-    def take_fleet(self, report: FleetReport) -> None:
+    def take_fleet(self, peer: Peer, report: FleetReport) -> None:
         """Take in summaries of zones and pass on what is new."""
-        self._spread_zones(self.fleet.merge(report.zones))
+        self._spread_zones(self.fleet.merge(report.zones), origin=peer)
 
     def report_soon(self) -> None:
         """Send the status report shortly, together with what comes until then."""
-        if self._report_due is None:
-            loop = asyncio.get_running_loop()
-            delay = self._times.report_delay
-            self._report_due = loop.call_later(delay, self._send_report)
+        if self._report_due is not None:
+            return
+        loop = asyncio.get_running_loop()
+        delay = self._times.report_delay
+        if self._parent() is None:
+            rest = self._summary_at + self._times.summary_pause - loop.time()
+            delay = max(delay, rest)
+        self._report_due = loop.call_later(delay, self._send_report)
 
     def refresh(self) -> None:
         """Bring the own zone's summary up to date if this process is its root."""
@@ -99,26 +110,31 @@
         parent = self._parent()
         if parent:
             parent.link.send(self.table.report())
-        else:
-            summary = self.table.summary(self._clock)
-            self._spread_zones(self.fleet.merge([summary]))
+            return
+        self._summary_at = asyncio.get_running_loop().time()
+        summary = self.table.summary(self._clock)
+        self._spread_zones(self.fleet.merge([summary]), origin=None)
 
-    def _spread_zones(self, zones: list[ZoneSummary]) -> None:
+    def _spread_zones(self, zones: list[ZoneSummary], origin: Peer | None) -> None:
         """Pass new summaries on, together with those that come shortly after."""
         for summary in zones:
-            self._fresh_zones[summary.zone] = summary
+            self._fresh_zones[summary.zone] = summary, origin
         if zones and self._fleet_due is None:
             loop = asyncio.get_running_loop()
             delay = self._times.fleet_delay
             self._fleet_due = loop.call_later(delay, self._flush_zones)
 
     def _flush_zones(self) -> None:
+        """Send fresh summaries to everyone but the peer that each came from."""
         self._fleet_due = None
-        report = FleetReport(list(self._fresh_zones.values()))
+        fresh = list(self._fresh_zones.values())
         self._fresh_zones.clear()
         for peer in self._peers():
-            if self._shares_fleet(peer):
-                peer.link.send(report)
+            zones = [summary for summary, origin in fresh if origin is not peer]
+            if zones and self._shares_fleet(peer):
+                peer.link.send(FleetReport(zones))
 
     def _shares_fleet(self, peer: Peer) -> bool:
-        return peer.is_child or peer.instance.zone != self._members.me.zone
+        """Return whether a peer gets summaries: all but lazy peers of the own zone."""
+        other_zone = peer.instance.zone != self._members.me.zone
+        return other_zone or peer.mode is Mode.ACTIVE
--- a/ragwortferry/spread/seeker.py
+++ b/ragwortferry/spread/seeker.py
@@ -114,6 +114,7 @@
         return None
 
     def _serve(self, peer: Peer) -> asyncio.Task:
+        self._peers.register(peer)
         name = f"{peer.mode} link to {peer.instance.id}"
         return self._kernel.spawn(self._peers.serve(peer), name)
 
--- a/ragwortferry/spread/status.py
+++ b/ragwortferry/spread/status.py
@@ -54,9 +54,11 @@
         self._now = now
         self._held: dict[int, _Held] = {}
 
-    def take(self, peer_id: int, report: SubtreeReport) -> None:
-        """Replace what a child reported before."""
+    def take(self, peer_id: int, report: SubtreeReport) -> bool:
+        """Replace what a child reported; return whether more than its ages differ."""
+        old = self._held.get(peer_id)
         self._held[peer_id] = _Held(report.groups, self._now())
+        return old is None or _without_ages(old.groups) != _without_ages(report.groups)
 
     def drop(self, peer_id: int) -> None:
         """Forget a child whose link is gone."""
@@ -149,6 +151,10 @@
         return self._members.name_of(key) or f"unlisted:{key:016x}"
 
 
+def _without_ages(groups: list[StatusGroup]) -> set[tuple]:
+    return {(group.version, group.state, group.reason, group.keys) for group in groups}
+
+
 def _split(keys: bytes) -> list[bytes]:
     return [keys[at : at + KEY_BYTES] for at in range(0, len(keys), KEY_BYTES)]
 
--- a/ragwortferry/spread/tests/test_processes.py
+++ b/ragwortferry/spread/tests/test_processes.py
@@ -45,6 +45,8 @@
             states = [await fleet.state(name) for name in fleet.nodes]
             assert sum(state["reading"] for state in states) <= 4
             assert {state["threads"] for state in states} == {1}
+            for state in states:
+                assert len(state["children"]) == len(set(state["children"]))
             before = fleet.platform.calls["key"]
             fleet.publish(texts(12, timeout_ms=1500), 2)
             await fleet.wait_version(2)
@@ -53,6 +55,20 @@
     run(scenario())
 
 
+def test_the_short_form_spreads_and_is_worked_out_or_read(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 4) as fleet:
+            fleet.publish(texts(4, timeout_ms=1500), 2, short=True)
+            await fleet.wait_version(2, bound_s=SPREAD_BOUND_S)
+            fleet.platform.set_faults(Faults(outage=True))
+            fleet.publish(texts(4, timeout_ms=1400), 3, short=True)
+            fleet.publish(texts(4, timeout_ms=1300), 4, short=True)
+            fleet.platform.set_faults(Faults())
+            await fleet.wait_version(4, bound_s=SPREAD_BOUND_S)
+
+    run(scenario())
+
+
 def test_a_process_that_was_paused_wakes_to_the_newest_version(tmp_path):
     async def scenario():
         async with running(tmp_path, 6) as fleet:
@@ -205,6 +221,11 @@
     async def scenario():
         async with running(tmp_path, 6) as fleet:
             zone_a, zone_b = fleet.zone_number("zone-a"), fleet.zone_number("zone-b")
+
+            async def told():
+                return (await fleet.status("tablero-1"))["complete"]
+
+            await wait_until(told, SPREAD_BOUND_S, "zones know of each other")
             inside, outside = in_zone(fleet, "zone-a"), in_zone(fleet, "zone-b")
             fleet.network.separate(zone_a, ["9", zone_b], fault)
             fleet.publish(texts(6, timeout_ms=1500), 2)
--- a/ragwortferry/tests/test_cli.py
+++ b/ragwortferry/tests/test_cli.py
@@ -12,6 +12,7 @@
 from ragwortferry.exceptions import SettingsError
 from ragwortferry.settings import Settings, load_settings
 from ragwortferry.tests.builders import section
+from ragwortferry.utils.digests import content_digest
 from standins.fleet import free_ports
 
 BOUND_S = 30
@@ -139,6 +140,21 @@
     assert "edited here too" in result.stderr
 
 
+def test_the_short_form_leads_to_the_same_version(tmp_path):
+    document(tmp_path, boards=section(), exports=section("archivo"))
+    accept(tmp_path)
+    document(tmp_path, boards=section(timeout_ms=1500))
+    full = ragwortferry("check", tmp_path).stdout.strip()
+    short = json.loads(ragwortferry("check", tmp_path, "--short").stdout)
+    assert short["digest"] == content_digest(full.encode())
+    assert list(short["changed"]) == ["boards"] and short["base"] == 1
+    kept = tmp_path / f"manifest.{short['digest'][:12]}.json"
+    kept.write_text(full)
+    (tmp_path / "accepted.json").write_text(json.dumps(short))
+    document(tmp_path, boards=section(timeout_ms=1400))
+    assert json.loads(ragwortferry("check", tmp_path).stdout)["base"] == 2
+
+
 def test_an_empty_manifest_is_not_taken_for_none(tmp_path):
     document(tmp_path, boards=section())
     (tmp_path / "accepted.json").touch()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,8 +18,8 @@
 import msgspec
 from yarl import URL
 
-from ragwortferry.document.models import Manifest, encode_manifest
-from ragwortferry.source.port import ACCEPTED_KEY, Instance, section_key
+from ragwortferry.document.models import Manifest, encode_manifest, make_pointer
+from ragwortferry.source.port import ACCEPTED_KEY, Instance, manifest_key, section_key
 from ragwortferry.utils.digests import content_digest
 from standins.network import FaultProxy, Network
 from standins.platform import Platform, PlatformServer
@@ -135,6 +135,7 @@
         self.platform_front: FaultProxy | None = None
         self.nodes: dict[str, Node] = {}
         self.manifest: Manifest | None = None
+        self._published: set[str] = set()
         self.settings: dict[str, object] = dict(FAST)
 
     async def __aenter__(self) -> "Fleet":
@@ -248,16 +249,33 @@
         """Kill the process of an instance."""
         self.signal(name, signal.SIGKILL)
 
-    def publish(self, texts: Mapping[str, bytes], version: int, base: int = -1) -> str:
-        """Publish sections and accept them as a version; return its digest."""
+    def publish(
+        self,
+        texts: Mapping[str, bytes],
+        version: int,
+        base: int = -1,
+        short: bool = False,
+    ) -> str:
+        """Publish sections and accept them as a version; return its digest.
+
+        :param short: whether to accept the short form of the manifest.
+        """
         digests = {name: content_digest(text) for name, text in texts.items()}
         for name, text in texts.items():
-            self.platform.put(section_key(name, digests[name]), text)
+            key = section_key(name, digests[name])
+            if key not in self._published and self.platform.put(key, text):
+                self._published.add(key)
         manifest = Manifest(version, version - 1 if base < 0 else base, digests)
-        self.manifest = manifest
         data = encode_manifest(manifest)
-        self.platform.put(ACCEPTED_KEY, data)
-        return content_digest(data)
+        digest = content_digest(data)
+        if short:
+            self.platform.put(manifest_key(digest), data)
+            pointer = make_pointer(manifest, self.manifest)
+            self.platform.put(ACCEPTED_KEY, msgspec.json.encode(pointer))
+        else:
+            self.platform.put(ACCEPTED_KEY, data)
+        self.manifest = manifest
+        return digest
 
     async def call(self, name: str, method: str, path: str, **options) -> Answer:
         """Send a request to the proxy of an instance."""
