--- a/benchmarks/convergence.py
+++ b/benchmarks/convergence.py
@@ -235,12 +235,16 @@
     found = asyncio.run(
         _measure(instances, zones, changes, mode, seed, services, upstreams, short)
     )
-    given = {"instances": instances, "zones": zones, "mode": mode, "short": short}
-    print(
-        json.dumps(
-            {**given, "seed": seed, "services": services, "changes": changes, **found}
-        )
-    )
+    given = {
+        "instances": instances,
+        "zones": zones,
+        "mode": mode,
+        "short": short,
+        "seed": seed,
+        "services": services,
+        "changes": changes,
+    }
+    print(json.dumps({**given, **found}))
 
 
 if __name__ == "__main__":
--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -63,6 +63,13 @@
         "",
         f"{PEERS}::test_nothing_is_enforced_before_the_boot_floor_is_known",
     ),
+    Mechanism(
+        "places for those that stand first",
+        "ragwortferry/spread/peers.py",
+        "if self._rank(instance) >= self._rank(last.instance):",
+        "if True:",
+        f"{PEERS}::test_a_full_parent_keeps_the_children_that_stand_first",
+    ),
     Mechanism(
         "one update in flight",
         "ragwortferry/spread/peers.py",
--- a/ragwortferry/cli.py
+++ b/ragwortferry/cli.py
@@ -178,4 +178,4 @@
     try:
         fire.Fire(COMMANDS, name="ragwortferry")
     except BrokenPipeError:
-        sys.stderr.close()
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- a/ragwortferry/settings.py
+++ b/ragwortferry/settings.py
@@ -66,7 +66,7 @@
     log: str = "-"
     readers: Count = 2
     fanout: Count = 4
-    max_children: Count = 8
+    max_children: Count = 6
     source_rate: Annotated[float, Meta(gt=0, le=2_000)] = 25.0
     heartbeat_s: Seconds = 2.0
     silence_s: Seconds = 6.0
--- a/ragwortferry/spread/messages.py
+++ b/ragwortferry/spread/messages.py
@@ -92,10 +92,14 @@
 
 
 class Announce(Struct, tag="announce", tag_field="t", frozen=True, array_like=True):
-    """What the sender enforces and knows, sent when it changes."""
+    """What the sender enforces and knows, sent when it changes.
+
+    :param high: highest version that the sender knows to have been enforced, ``None``
+        if that is its own.
+    """
 
     mark: Mark
-    high: Mark
+    high: Mark | None
     list_revision: int
 
 
--- a/ragwortferry/spread/peers.py
+++ b/ragwortferry/spread/peers.py
@@ -36,6 +36,7 @@
 from ragwortferry.spread.reporting import Reporter
 from ragwortferry.spread.store import Refusal, VersionStore
 from ragwortferry.utils.clock import HybridClock
+from ragwortferry.utils.digests import rank_key
 from ragwortferry.utils.sockets import connect, listen
 
 CONNECT_TIMEOUT_S = 1.0
@@ -193,17 +194,35 @@
         )
         peer.list_revision = hello.list_revision
         peer.settled = hello.mark.version
-        accepted = self._has_room(peer.mode)
+        accepted = self._admit(peer.mode, peer.instance)
         link.send(self._welcome(accepted))
         if accepted and peer.mode is not Mode.PROBE:
             self.register(peer)
             await self.serve(peer)
         link.close()
 
-    def _has_room(self, mode: Mode) -> bool:
-        if mode is Mode.ACTIVE:
-            return len(self.children) < self._max_children
-        return mode is Mode.PROBE or len(self._peers) < MAX_LINKS
+    def _admit(self, mode: Mode, instance: Instance) -> bool:
+        """Return whether an instance is taken on in a mode.
+
+        A full parent gives up the child that stands last in the hash order for one that
+        stands before it. The earlier an instance stands the fewer parents it can have,
+        and each has more places than there are instances before its child.
+        """
+        if mode is not Mode.ACTIVE:
+            return mode is Mode.PROBE or len(self._peers) < MAX_LINKS
+        children = self.children
+        if len(children) < self._max_children:
+            return True
+        last = max(children, key=lambda peer: self._rank(peer.instance))
+        if self._rank(instance) >= self._rank(last.instance):
+            return False
+        last.mode = Mode.LAZY
+        last.link.send(Subscribe(Mode.LAZY))
+        self.reporter.link_down(last)
+        return True
+
+    def _rank(self, instance: Instance) -> tuple[int, str]:
+        return rank_key(self._members.me.zone, instance.id)
 
     def _children_listed(self) -> list[Instance]:
         """Return the children, with their listed address if they have one."""
@@ -241,7 +260,10 @@
         """Handle the messages of a registered peer until its link ends."""
         side = "parent" if peer.outgoing else "child"
         self._log.event(
-            "link-up", f"{peer.mode} link", peer=peer.instance.id, side=side
+            "link-up",
+            f"{peer.mode} link with {peer.instance.id}",
+            peer=peer.instance.id,
+            side=side,
         )
         self._push(peer)
         self._consider_repair(peer)
@@ -258,7 +280,10 @@
             self._forget(peer)
             peer.link.abort()
             self._log.event(
-                "link-down", "link ended", peer=peer.instance.id, reason=reason
+                "link-down",
+                f"link with {peer.instance.id} ended",
+                peer=peer.instance.id,
+                reason=reason,
             )
 
     async def _handle(self, peer: Peer, message: object) -> None:
@@ -315,7 +340,7 @@
 
     @handles(Announce)
     def _on_announce(self, peer: Peer, message: Announce) -> None:
-        self._store.observe_high(message.high)
+        self._store.observe_high(message.high or message.mark)
         if peer.outgoing or not peer.in_flight:
             peer.mark = message.mark
             peer.list_revision = message.list_revision
@@ -395,7 +420,10 @@
 
     @handles(Subscribe)
     def _on_subscribe(self, peer: Peer, message: Subscribe) -> None:
-        accepted = self._has_room(message.mode)
+        if peer.outgoing:
+            peer.mode = message.mode
+            return
+        accepted = self._admit(message.mode, peer.instance)
         if accepted:
             peer.mode = message.mode
         peer.link.send(self._welcome(accepted))
@@ -451,7 +479,8 @@
 
     def _announcement(self) -> Announce:
         store = self._store
-        return Announce(store.mark, store.high, self._members.revision)
+        high = None if store.high == store.mark else store.high
+        return Announce(store.mark, high, self._members.revision)
 
     def _announce(self, peer: Peer, announce: Announce) -> None:
         peer.announced = announce
--- a/ragwortferry/spread/tests/test_peers.py
+++ b/ragwortferry/spread/tests/test_peers.py
@@ -1,7 +1,7 @@
 from msgspec import structs
 
 from ragwortferry.spread.members import Members
-from ragwortferry.spread.messages import Ack, Mark, Mode, Pull, Update
+from ragwortferry.spread.messages import Ack, Mark, Mode, Pull, Subscribe, Update
 from ragwortferry.spread.peer import Peer, SpreadTimes
 from ragwortferry.spread.peers import Peers
 from ragwortferry.tests.builders import (
@@ -15,6 +15,7 @@
     store,
 )
 from ragwortferry.utils.clock import HybridClock
+from ragwortferry.utils.digests import rank_key
 
 TEXTS = {"a": section(), "b": section("archivo")}
 
@@ -109,9 +110,22 @@
     run(scenario())
 
 
-def test_a_full_parent_turns_an_active_child_away_but_not_a_probe():
-    held = store()
-    peers = peers_with(held)
-    peers._peers = {child(), child()}
-    assert not peers._has_room(Mode.ACTIVE)
-    assert peers._has_room(Mode.PROBE) and peers._has_room(Mode.LAZY)
+def test_a_full_parent_keeps_the_children_that_stand_first():
+    order = sorted((f"i-{n}" for n in range(2, 9)), key=lambda n: rank_key("zone-a", n))
+    first, second, third, fourth = (instance(name) for name in order[:4])
+    peers = peers_with(store())
+    held = [child(), child()]
+    held[0].instance, held[1].instance = second, third
+    peers._peers = set(held)
+    assert not peers._admit(Mode.ACTIVE, fourth)
+    assert peers._admit(Mode.PROBE, fourth) and peers._admit(Mode.LAZY, fourth)
+    assert peers._admit(Mode.ACTIVE, first)
+    assert (held[0].mode, held[1].mode) == (Mode.ACTIVE, Mode.LAZY)
+    assert held[1].link.of(Subscribe)
+
+
+def test_a_displaced_child_keeps_its_link_as_a_lazy_one():
+    peers, parent = peers_with(store()), child()
+    parent.outgoing = True
+    peers._on_subscribe(parent, Subscribe(Mode.LAZY))
+    assert parent.mode is Mode.LAZY and not parent.is_parent
--- a/ragwortferry/utils/decorators.py
+++ b/ragwortferry/utils/decorators.py
@@ -18,6 +18,8 @@
     def wrapper(*args, **kwargs):
         try:
             return function(*args, **kwargs)
+        except BrokenPipeError:
+            raise
         except (RagwortferryError, OSError) as error:
             print(f"ragwortferry: {error}", file=sys.stderr)
             raise SystemExit(EXIT_ERROR) from None
