End with one line when nothing can ever come into force, serve without a list

Cause: ragwortferry run on a directory without a version, or with an unreachable platform and no seeds, waited for ever without a word on standard error; the two reading tasks overwrote each other's problem. On one machine without instances.json the instance did not find its own target. Change: the process ends with one line and exit code 1 if its first reading fails and it has neither seeds nor listed peers; each task keeps its problem; an instance always knows itself. The first reading of the list backs off with full jitter.

--- a/benchmarks/randomised.py
+++ b/benchmarks/randomised.py
@@ -134,10 +134,16 @@
         if code == EXIT_INVARIANT:
             self.outcome.violate("inside the program", f"{name} ended with {code}")
         self.down.add(name)
-        await self.fleet.spawn(name)
+        await self.fleet.spawn(name, seeds=self.seeds(name))
         self.down.discard(name)
         self.disturbed[name] = time.time()
 
+    def seeds(self, name: str) -> str:
+        """Return the link addresses of two other instances."""
+        others = [node.listed for key, node in self.fleet.nodes.items() if key != name]
+        picked = self.rng.sample(others, 2)
+        return ",".join(f"{item.host}:{item.link_port}" for item in picked)
+
     def later(self, action: Callable[[], Awaitable[None]]) -> None:
         """Run an action after a drawn time."""
         delay = self.rng.uniform(*FAULT_LENGTH_S)
--- a/ragwortferry/composition.py
+++ b/ragwortferry/composition.py
@@ -9,7 +9,7 @@
 import aiomisc
 
 from ragwortferry.admin import Admin
-from ragwortferry.exceptions import SettingsError
+from ragwortferry.exceptions import SettingsError, SourceError
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log, LogContext, open_log
 from ragwortferry.metrics import Metrics
@@ -104,13 +104,14 @@
 
     async def _wait_end(self, kernel: Kernel) -> None:
         """Wait for a signal, then leave in order."""
-        waits = [
-            asyncio.ensure_future(event.wait())
-            for event in (self._stopping, kernel.failed)
-        ]
+        reader = kernel.get("reader")
+        events = (self._stopping, kernel.failed, reader.stuck)
+        waits = [asyncio.ensure_future(event.wait()) for event in events]
         await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         for wait in waits:
             wait.cancel()
+        if reader.stuck.is_set():
+            raise SourceError(f"nothing can come into force: {reader.problem}")
         if kernel.failed.is_set():
             return
         drain, entry = kernel.get("drain"), kernel.get("entry")
@@ -178,6 +179,7 @@
             rng,
             bucket,
             everyone=direct,
+            alone=not settings.seeds,
         )
         kernel.add("reader", reader)
         self._wire_requests(kernel, members, store, peers, drain, clock, log, rng)
--- a/ragwortferry/record/standing.py
+++ b/ragwortferry/record/standing.py
@@ -49,7 +49,7 @@
     lines = [
         f"version {answer.version} as {answer.instance} knows it "
         f"(newest known: {answer.newest})",
-        f"  enforced       {answer.enforced} of {answer.listed} listed instances",
+        f"  enforced       {answer.enforced} ({answer.listed} instances are listed)",
         f"  newer          {answer.newer}",
         f"  behind         {answer.behind}",
         f"  not heard from {answer.not_heard}",
--- a/ragwortferry/requests/balance.py
+++ b/ragwortferry/requests/balance.py
@@ -117,6 +117,8 @@
         found = []
         for upstream in service.upstreams:
             item = instances.get(upstream)
+            if item is None and upstream == self._members.me.id:
+                item = self._members.me
             if item is None or item.leaving or item.id in tried:
                 continue
             view = self._views.get(item.id)
--- a/ragwortferry/requests/tests/test_balance.py
+++ b/ragwortferry/requests/tests/test_balance.py
@@ -89,6 +89,12 @@
     assert caught.value.outcome == "not-run"
 
 
+def test_an_instance_serves_its_own_target_without_any_list():
+    members = Members(instance("near-1"), fanout=4, readers=2)
+    held = Balancer(members, rng(), FakeTime())
+    assert held.pick(SERVICE, ()).id == "near-1"
+
+
 def test_retries_stay_a_small_share_however_much_fails():
     budget = RetryBudget(FakeTime())
     allowed = 0
--- a/ragwortferry/spread/boot.py
+++ b/ragwortferry/spread/boot.py
@@ -14,10 +14,13 @@
 from ragwortferry.spread.messages import InstanceUpdate, Mark, Mode, Pull
 from ragwortferry.spread.peers import Peers
 from ragwortferry.spread.store import VersionStore
+from ragwortferry.utils.pacing import Backoff
 
 PROBES_PER_ROUND = 4
 FLOOR_ANSWERS = 2
 ROUND_PAUSE_S = 0.3
+RETRY_FIRST_S = 0.5
+RETRY_MOST_S = 5.0
 
 
 class Boot:
@@ -84,6 +87,7 @@
         for seed in self._rng.sample(self._seeds, len(self._seeds)):
             if await self._list_from(seed):
                 return
+        backoff = Backoff(RETRY_FIRST_S, RETRY_MOST_S, self._rng)
         while True:
             try:
                 change = await self._source.instances(0, 0)
@@ -91,7 +95,7 @@
                     self._members.apply(change)
                 return
             except SourceError:
-                await asyncio.sleep(ROUND_PAUSE_S * self._rng.uniform(0.5, 1.5))
+                await asyncio.sleep(backoff.next_delay())
 
     async def _list_from(self, seed: Instance) -> bool:
         try:
--- a/ragwortferry/spread/reader.py
+++ b/ragwortferry/spread/reader.py
@@ -50,6 +50,7 @@
     they read passes the same checks in the store.
 
     :param everyone: whether to read whatever the place in the zone, as in direct mode.
+    :param alone: whether no peer can help if the source fails at the start.
     :param bucket: limits the calls to the source.
     """
 
@@ -64,6 +65,7 @@
         rng: random.Random,
         bucket: TokenBucket,
         everyone: bool,
+        alone: bool,
     ):
         self._kernel = kernel
         self._members = members
@@ -74,9 +76,24 @@
         self._rng = rng
         self._bucket = bucket
         self._everyone = everyone
+        self._alone = alone
+        self._stuck = asyncio.Event()
         self._reading = False
         self.calls = 0
-        self.problem = ""
+        self._problems: dict[str, str] = {}
+
+    @property
+    def problem(self) -> str:
+        """Return why reading fails at present, empty if it does not."""
+        return "; ".join(filter(None, dict.fromkeys(self._problems.values())))
+
+    @property
+    def stuck(self) -> asyncio.Event:
+        """Return the event that is set when nothing can ever come into force.
+
+        That is so if the first reading fails and there is no peer to turn to.
+        """
+        return self._stuck
 
     @property
     def reading(self) -> bool:
@@ -85,14 +102,14 @@
 
     async def start(self) -> None:
         """Start to watch when the place in the zone asks for it."""
-        self._kernel.spawn(self._run(self._read_version), "version reader")
-        self._kernel.spawn(self._run(self._read_list), "list reader")
+        self._kernel.spawn(self._run("version", self._read_version), "version reader")
+        self._kernel.spawn(self._run("list", self._read_list), "list reader")
 
     async def stop(self) -> None:
         """Close the source."""
         await self._source.close()
 
-    async def _run(self, step) -> None:
+    async def _run(self, what: str, step) -> None:
         """Repeat one step of reading, backing off while the source fails."""
         await self._boot.done.wait()
         backoff = Backoff(BACKOFF_FIRST_S, BACKOFF_MOST_S, self._rng)
@@ -105,12 +122,17 @@
                 continue
             try:
                 after = await step(after)
-                self._note_problem("")
+                self._note_problem(what, "")
                 backoff.reset()
             except SourceError as error:
-                self._note_problem(str(error))
+                self._note_problem(what, str(error))
+                if self._alone and not (self._store.mark.version or self._has_peers()):
+                    self._stuck.set()
                 await asyncio.sleep(backoff.next_delay())
 
+    def _has_peers(self) -> bool:
+        return any(name != self._members.me.id for name in self._members.instances)
+
     def _change_role(self) -> None:
         wanted = self._everyone or self._members.is_reader
         if wanted != self._reading:
@@ -118,9 +140,9 @@
             role = "reader" if wanted else "relay"
             self._log.event("role", f"now a {role} of the zone", role=role)
 
-    def _note_problem(self, problem: str) -> None:
-        if problem != self.problem:
-            self.problem = problem
+    def _note_problem(self, what: str, problem: str) -> None:
+        if problem != self._problems.get(what, ""):
+            self._problems[what] = problem
             text = "source failed" if problem else "source works"
             self._log.event("source", text, reason=problem)
 
--- a/ragwortferry/tests/test_cli.py
+++ b/ragwortferry/tests/test_cli.py
@@ -107,6 +107,19 @@
             one_line(ragwortferry("run", log, *flags), str(port))
 
 
+def test_a_source_that_can_never_give_a_version_gets_one_line(tmp_path):
+    names = ("listen_port", "owner_port", "link_port")
+    ports = dict(zip(names, free_ports("127.0.0.1", 3), strict=True))
+    flags = [f"--{name}={port}" for name, port in ports.items()]
+    flags += [f"--log={tmp_path / 'log'}", "--boot-wait-s=0.3"]
+    one_line(ragwortferry("run", f"--source=dir:{tmp_path}", *flags), "no version")
+    one_line(ragwortferry("run", "--source=http://127.0.0.1:9", *flags), "unreachable")
+    document(tmp_path, boards=section())
+    accept(tmp_path)
+    document(tmp_path, boards=b"team = ")
+    one_line(ragwortferry("run", f"--source=dir:{tmp_path}", *flags), "'boards'")
+
+
 def test_check_prints_the_verdict_the_manifest_and_the_changes(tmp_path):
     document(tmp_path, boards=section(), exports=section("archivo"))
     assert accept(tmp_path)["version"] == 1
