--- a/ragwortferry/composition.py
+++ b/ragwortferry/composition.py
@@ -16,6 +16,7 @@
 from ragwortferry.requests.balance import Balancer
 from ragwortferry.requests.drain import Drain
 from ragwortferry.requests.entry import Entry
+from ragwortferry.requests.hop import HopParts
 from ragwortferry.requests.owner import Owner
 from ragwortferry.requests.remote import RemoteOwners
 from ragwortferry.requests.target import Target
@@ -192,30 +193,11 @@
         target = kernel.add("target", Target(self._settings.target, members.me.host))
         balancer = kernel.add("balancer", Balancer(members, rng))
         admin = Admin(kernel)
-        owner = Owner(
-            kernel,
-            members,
-            store,
-            target,
-            drain,
-            clock,
-            log.part("owner"),
-            members.me.owner_port,
-            admin.handle,
-        )
-        kernel.add("owner", owner)
+        parts = HopParts(kernel, members, store, drain, log.part("owner"))
+        owner = kernel.add("owner", Owner(parts, target, clock, admin.handle))
         remote = RemoteOwners(clock, members.me.host)
-        entry = Entry(
-            kernel,
-            members,
-            store,
-            balancer,
-            owner,
-            remote,
-            drain,
-            log.part("entry"),
-            peers.incarnation,
-        )
+        parts = HopParts(kernel, members, store, drain, log.part("entry"))
+        entry = Entry(parts, balancer, owner, remote, peers.incarnation)
         kernel.add("entry", entry)
 
 
--- a/ragwortferry/requests/entry.py
+++ b/ragwortferry/requests/entry.py
@@ -9,15 +9,10 @@
 from ragwortferry.document.snapshot import Route, Service, Snapshot
 from ragwortferry.exceptions import (
     ErrorKind,
-    InvariantError,
     Outcome,
     RequestError,
 )
-from ragwortferry.kernel import Kernel
-from ragwortferry.logs import Log
-from ragwortferry.requests.answers import error_response, relay, stamp
 from ragwortferry.requests.balance import Balancer, RetryBudget
-from ragwortferry.requests.drain import Drain
 from ragwortferry.requests.exchange import Attempt, Body, Policy, TargetReply
 from ragwortferry.requests.headers import (
     check_headers,
@@ -26,13 +21,12 @@
     request_id_of,
     timeout_of,
 )
+from ragwortferry.requests.hop import Hop, HopParts
 from ragwortferry.requests.owner import Owner
 from ragwortferry.requests.record import AttemptRecord, RequestRecord
 from ragwortferry.requests.remote import RemoteOwners
 from ragwortferry.requests.server import HttpServer
 from ragwortferry.source.port import Instance
-from ragwortferry.spread.members import Members
-from ragwortferry.spread.store import VersionStore
 
 FREE_RETRIES = 2
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -45,7 +39,7 @@
 )
 
 
-class Entry:
+class Entry(Hop):
     """Serves callers.
 
     :param incarnation: name of this run of the process, part of each attempt's key.
@@ -53,31 +47,22 @@
 
     def __init__(
         self,
-        kernel: Kernel,
-        members: Members,
-        store: VersionStore,
+        parts: HopParts,
         balancer: Balancer,
         owner: Owner,
         remote: RemoteOwners,
-        drain: Drain,
-        log: Log,
         incarnation: str,
     ):
-        self._kernel = kernel
-        self._members = members
-        self._store = store
+        super().__init__("entry", parts)
         self._balancer = balancer
         self._owner = owner
         self._remote = remote
-        self._drain = drain
-        self._log = log
         self._prefix = incarnation[:12]
         self._count = 0
         self._budget = RetryBudget()
-        me = members.me
-        self._server = HttpServer(self._handle, me.host, me.listen_port)
+        me = self._members.me
+        self._server = HttpServer(self._serve, me.host, me.listen_port)
         self.retries = 0
-        self.answers: dict[str, int] = {}
 
     async def start(self) -> None:
         """Listen."""
@@ -92,47 +77,8 @@
         """Accept no more connections of callers."""
         self._server.stop_listening()
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        with self._drain.in_flight:
-            return await self._serve(request)
-
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        record = RequestRecord("entry", own_version=self._store.mark.version)
-        answer: web.StreamResponse = web.Response()
-        try:
-            reply = await self._run(request, record)
-            answer, relayed = await relay(request, reply, self._headers(record))
-            record.note_relayed(reply.status, relayed)
-        except RequestError as error:
-            record.note_error(error)
-            answer = error_response(error)
-            answer.headers.update(self._headers(record))
-            if error.kind is ErrorKind.BODY_CUT:
-                answer.force_close()
-        except asyncio.CancelledError:
-            record.note_caller_gone()
-            raise
-        except Exception as error:
-            answer = self._internal(error, record)
-        finally:
-            kind = record.error or "none"
-            self.answers[kind] = self.answers.get(kind, 0) + 1
-            record.write(self._log)
-        return answer
-
-    def _internal(self, error: Exception, record: RequestRecord) -> web.Response:
-        """Answer for an error of the program itself."""
-        self._log.error("request failed", error, request_id=record.request_id)
-        if isinstance(error, InvariantError):
-            self._kernel.fail(error)
-        failure = RequestError(ErrorKind.INTERNAL, type(error).__name__)
-        record.note_error(failure)
-        return error_response(failure)
-
     def _headers(self, record: RequestRecord) -> dict[str, str]:
-        headers: dict[str, str] = {}
-        me = self._members.me
-        stamp(headers, record.request_id, me.id, me.zone, record.policy)
+        headers = super()._headers(record)
         if self._drain.leaving:
             headers["Connection"] = "close"
         return headers
--- a/ragwortferry/requests/owner.py
+++ b/ragwortferry/requests/owner.py
@@ -10,15 +10,10 @@
 
 from ragwortferry.exceptions import (
     ErrorKind,
-    InvariantError,
     Outcome,
     RequestError,
 )
-from ragwortferry.kernel import Kernel
-from ragwortferry.logs import Log
-from ragwortferry.requests.answers import error_response, relay, stamp
 from ragwortferry.requests.attempts import Attempts
-from ragwortferry.requests.drain import Drain
 from ragwortferry.requests.exchange import Attempt, Body, Policy, TargetReply
 from ragwortferry.requests.headers import (
     ATTEMPT,
@@ -29,44 +24,31 @@
     UPSTREAM,
     end_to_end,
 )
+from ragwortferry.requests.hop import Hop, HopParts
 from ragwortferry.requests.record import AttemptRecord, RequestRecord
 from ragwortferry.requests.server import HttpServer
 from ragwortferry.requests.target import Target
-from ragwortferry.spread.members import Members
-from ragwortferry.spread.store import VersionStore
 from ragwortferry.utils.clock import HybridClock
 
 AdminHandler = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
 
-class Owner:
+class Owner(Hop):
     """Serves attempts of other proxies and the requests of operators.
 
     :param admin: answers what is not an attempt.
     """
 
     def __init__(
-        self,
-        kernel: Kernel,
-        members: Members,
-        store: VersionStore,
-        target: Target,
-        drain: Drain,
-        clock: HybridClock,
-        log: Log,
-        port: int,
-        admin: AdminHandler,
+        self, parts: HopParts, target: Target, clock: HybridClock, admin: AdminHandler
     ):
-        self._kernel = kernel
-        self._members = members
-        self._store = store
+        super().__init__("owner", parts)
         self._target = target
-        self._drain = drain
         self._clock = clock
-        self._log = log
         self._admin = admin
         self._attempts = Attempts()
-        self._server = HttpServer(self._handle, members.me.host, port)
+        me = self._members.me
+        self._server = HttpServer(self._handle, me.host, me.owner_port)
 
     @property
     def attempts(self) -> Attempts:
@@ -114,30 +96,11 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if ATTEMPT not in request.headers:
             return await self._admin(request)
-        with self._drain.in_flight:
-            return await self._serve(request)
+        return await self._serve(request)
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        record = RequestRecord("owner", own_version=self._store.mark.version)
-        answer: web.StreamResponse = web.Response()
-        try:
-            attempt = await self._read(request, record)
-            reply = await self._open_recorded(attempt, record)
-            headers = self._headers(attempt.request_id, attempt.policy)
-            answer, relayed = await relay(request, reply, headers)
-            record.note_relayed(reply.status, relayed)
-        except RequestError as error:
-            record.note_error(error)
-            answer = error_response(error)
-            answer.headers.update(self._headers(record.request_id, record.policy))
-        except asyncio.CancelledError:
-            record.note_caller_gone()
-            raise
-        except Exception as error:
-            answer = self._internal(error, record)
-        finally:
-            record.write(self._log)
-        return answer
+    async def _run(self, request: web.BaseRequest, record: RequestRecord):
+        attempt = await self._read(request, record)
+        return await self._open_recorded(attempt, record)
 
     async def _open_recorded(self, attempt: Attempt, record) -> TargetReply:
         entry = AttemptRecord(attempt.key, self._members.me.id)
@@ -152,19 +115,9 @@
         entry.outcome, entry.status = str(Outcome.RAN), reply.status
         return reply
 
-    def _internal(self, error: Exception, record: RequestRecord) -> web.Response:
-        """Answer for an error of the program itself."""
-        self._log.error("request failed", error, request_id=record.request_id)
-        if isinstance(error, InvariantError):
-            self._kernel.fail(error)
-        failure = RequestError(ErrorKind.INTERNAL, type(error).__name__)
-        record.note_error(failure)
-        return error_response(failure)
-
-    def _headers(self, request_id: str, policy: Policy | None) -> dict[str, str]:
-        headers: dict[str, str] = {CLOCK: str(self._clock.tick())}
-        me = self._members.me
-        stamp(headers, request_id, me.id, me.zone, policy)
+    def _headers(self, record: RequestRecord) -> dict[str, str]:
+        headers = super()._headers(record)
+        headers[CLOCK] = str(self._clock.tick())
         return headers
 
     async def _read(self, request: web.BaseRequest, record: RequestRecord) -> Attempt:
