Keep an attempt until past its deadline, and never prove from what was dropped

Change: a key lives until 30 s past the attempt's deadline; a key dropped before that makes fences of unseen keys answer 'forgotten', which proves nothing, for as long; fenced keys live 900 s in a list of their own. An attempt without an answer is looked for after 5 s at most.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -157,10 +157,24 @@
     Mechanism(
         "fence for silent connections",
         "ragwortferry/requests/remote.py",
-        "timer = loop.call_later(left * CHECK_SHARE, search.start)",
-        "timer = loop.call_later(1000, search.start)",
+        "min(left * CHECK_SHARE, CHECK_MOST_S)",
+        "1000",
         f"{REQUESTS}::test_a_payment_over_a_silent_connection_is_found_out_and_paid",
     ),
+    Mechanism(
+        "attempts kept past their deadline",
+        "ragwortferry/requests/attempts.py",
+        "until = self._now() + max(0.0, left_s) + KEEP_S",
+        "until = self._now() + KEEP_S",
+        f"{BALANCE}::test_a_long_attempt_is_not_forgotten_before_its_deadline",
+    ),
+    Mechanism(
+        "no proof from forgotten attempts",
+        "ragwortferry/requests/attempts.py",
+        "            if self._now() < self._blind_until or",
+        "            if",
+        f"{BALANCE}::test_a_fence_proves_nothing_once_attempts_were_dropped_early",
+    ),
     Mechanism(
         "no second try of what may have run",
         "ragwortferry/requests/entry.py",
--- a/ragwortferry/requests/attempts.py
+++ b/ragwortferry/requests/attempts.py
@@ -2,16 +2,18 @@
 
 __all__ = ["AttemptState", "Attempts"]
 
+import math
 import time
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import StrEnum
 
 from ragwortferry.exceptions import ErrorKind, Outcome, RequestError
 
-KEEP_S = 300.0
-MAX_KEPT = 50_000
+KEEP_S = 30.0
+MAX_KEPT = 10_000
+KEEP_FENCED_S = 900.0
+MAX_FENCED = 10_000
 
 
 class AttemptState(StrEnum):
@@ -21,12 +23,7 @@
     QUEUED = "queued"
     BEGUN = "begun"
     FENCED = "fenced"
-
-
-@dataclass(slots=True)
-class _Entry:
-    state: AttemptState
-    at: float
+    FORGOTTEN = "forgotten"
 
 
 class Attempts:
@@ -35,28 +32,30 @@
     An entry proxy that does not know whether its attempt arrived asks to fence it. An
     attempt that has not begun is then never begun, even if its bytes arrive later.
 
+    An attempt is kept past its deadline, after which nobody asks. Where the bound on
+    their number drops one earlier, an unseen attempt may be a dropped one: for that
+    time a fence proves nothing and says so.
+
     :param now: monotonic clock in seconds.
     """
 
     def __init__(self, now: Callable[[], float] = time.monotonic):
         self._now = now
-        self._entries: OrderedDict[str, _Entry] = OrderedDict()
-
-    def _put(self, key: str, state: AttemptState) -> None:
-        self._entries[key] = _Entry(state, self._now())
-        oldest = next(iter(self._entries.values()))
-        while len(self._entries) > MAX_KEPT or self._now() - oldest.at > KEEP_S:
-            self._entries.popitem(last=False)
-            oldest = next(iter(self._entries.values()))
+        self._seen: OrderedDict[str, tuple[AttemptState, float]] = OrderedDict()
+        self._fenced: OrderedDict[str, float] = OrderedDict()
+        self._blind_until = -math.inf
 
     def state(self, key: str) -> AttemptState:
         """Return how far an attempt has come."""
-        entry = self._entries.get(key)
-        return entry.state if entry else AttemptState.UNSEEN
+        if key in self._fenced:
+            return AttemptState.FENCED
+        found = self._seen.get(key)
+        return found[0] if found else AttemptState.UNSEEN
 
-    def arrive(self, key: str) -> None:
+    def arrive(self, key: str, left_s: float) -> None:
         """Take note of an attempt that has arrived.
 
+        :param left_s: seconds until its deadline.
         :raises RequestError: if it is fenced, or has arrived before.
         """
         state = self.state(key)
@@ -65,16 +64,31 @@
         if state is not AttemptState.UNSEEN:
             detail = "the attempt arrived twice"
             raise RequestError(ErrorKind.UPSTREAM_LOST, detail, Outcome.UNKNOWN)
-        self._put(key, AttemptState.QUEUED)
+        until = self._now() + max(0.0, left_s) + KEEP_S
+        self._seen[key] = AttemptState.QUEUED, until
+        self._drop_old()
+
+    def _drop_old(self) -> None:
+        now = self._now()
+        while self._seen:
+            key, (_, until) = next(iter(self._seen.items()))
+            if until > now and len(self._seen) <= MAX_KEPT:
+                break
+            del self._seen[key]
+            if until > now:
+                self._blind_until = max(self._blind_until, until)
+        while self._fenced and next(iter(self._fenced.values())) <= now:
+            self._fenced.popitem(last=False)
 
     def begin(self, key: str) -> None:
         """Take note that the target may see the attempt from now on.
 
         :raises RequestError: of kind ``FENCED`` if it was fenced while it waited.
         """
-        if self.state(key) is AttemptState.FENCED:
+        if key in self._fenced:
             raise RequestError(ErrorKind.FENCED, "the attempt was given up")
-        self._put(key, AttemptState.BEGUN)
+        if key in self._seen:
+            self._seen[key] = AttemptState.BEGUN, self._seen[key][1]
 
     def fence(self, key: str, drop_queued: bool) -> AttemptState:
         """Make sure that an attempt which has not begun never does.
@@ -82,10 +96,12 @@
         :param drop_queued: whether an attempt that waits for a slot is fenced too.
         :returns: the state after the call; ``FENCED`` proves that it has not run.
         """
+        self._drop_old()
         state = self.state(key)
-        fences = state is AttemptState.UNSEEN or (
-            drop_queued and state is AttemptState.QUEUED
-        )
-        if fences:
-            self._put(key, AttemptState.FENCED)
-        return self.state(key)
+        if state is AttemptState.UNSEEN:
+            if self._now() < self._blind_until or len(self._fenced) >= MAX_FENCED:
+                return AttemptState.FORGOTTEN
+        elif not (drop_queued and state is AttemptState.QUEUED):
+            return state
+        self._fenced[key] = self._now() + KEEP_FENCED_S
+        return AttemptState.FENCED
--- a/ragwortferry/requests/owner.py
+++ b/ragwortferry/requests/owner.py
@@ -76,7 +76,8 @@
         :raises RequestError: with an outcome that says whether it ran.
         """
         self._refuse_if_leaving()
-        self._attempts.arrive(attempt.key)
+        left = attempt.deadline - asyncio.get_running_loop().time()
+        self._attempts.arrive(attempt.key, left)
         return await self._target.send(attempt, lambda: self._begin(attempt))
 
     def _refuse_if_leaving(self) -> None:
--- a/ragwortferry/requests/remote.py
+++ b/ragwortferry/requests/remote.py
@@ -24,6 +24,7 @@
 CONNECT_TIMEOUT_S = 0.5
 FENCE_TIMEOUT_S = 1.0
 CHECK_SHARE = 0.25
+CHECK_MOST_S = 5.0
 FENCE_PATH = "/-/fence"
 
 
@@ -59,7 +60,7 @@
         deadline = asyncio.timeout_at(attempt.deadline)
         search = _Search(self, owner, attempt, deadline)
         left = attempt.deadline - loop.time()
-        timer = loop.call_later(left * CHECK_SHARE, search.start)
+        timer = loop.call_later(min(left * CHECK_SHARE, CHECK_MOST_S), search.start)
         try:
             async with deadline:
                 pooled = await self._call(owner, attempt)
--- a/ragwortferry/requests/tests/test_balance.py
+++ b/ragwortferry/requests/tests/test_balance.py
@@ -2,7 +2,7 @@
 
 from ragwortferry.document.snapshot import Service
 from ragwortferry.exceptions import ErrorKind, RequestError
-from ragwortferry.requests.attempts import KEEP_S, Attempts, AttemptState
+from ragwortferry.requests.attempts import KEEP_S, MAX_KEPT, Attempts, AttemptState
 from ragwortferry.requests.balance import EJECT_AFTER, Balancer, RetryBudget
 from ragwortferry.spread.members import Members
 from ragwortferry.tests.builders import FakeTime, instance, listing, rng
@@ -108,13 +108,13 @@
     attempts = Attempts(FakeTime())
     assert attempts.fence("k", drop_queued=False) is AttemptState.FENCED
     with pytest.raises(RequestError) as caught:
-        attempts.arrive("k")
+        attempts.arrive("k", 1.0)
     assert caught.value.outcome == "not-run"
 
 
 def test_a_fence_spares_a_queued_attempt_unless_told_otherwise():
     attempts = Attempts(FakeTime())
-    attempts.arrive("k")
+    attempts.arrive("k", 1.0)
     assert attempts.fence("k", drop_queued=False) is AttemptState.QUEUED
     assert attempts.fence("k", drop_queued=True) is AttemptState.FENCED
     with pytest.raises(RequestError):
@@ -124,12 +124,33 @@
 def test_an_attempt_that_has_begun_cannot_be_fenced_nor_begin_again():
     now = FakeTime()
     attempts = Attempts(now)
-    attempts.arrive("k")
+    attempts.arrive("k", 2.0)
     attempts.begin("k")
     assert attempts.fence("k", drop_queued=True) is AttemptState.BEGUN
     with pytest.raises(RequestError) as caught:
-        attempts.arrive("k")
+        attempts.arrive("k", 1.0)
     assert caught.value.outcome == "unknown"
-    now.now += KEEP_S + 1
-    attempts.arrive("other")
+    now.now += KEEP_S + 3
+    attempts.arrive("other", 1.0)
     assert attempts.state("k") is AttemptState.UNSEEN
+
+
+def test_a_long_attempt_is_not_forgotten_before_its_deadline():
+    now = FakeTime()
+    attempts = Attempts(now)
+    attempts.arrive("long", 3600.0)
+    attempts.begin("long")
+    now.now += 3500
+    attempts.arrive("other", 1.0)
+    assert attempts.fence("long", drop_queued=True) is AttemptState.BEGUN
+
+
+def test_a_fence_proves_nothing_once_attempts_were_dropped_early():
+    now = FakeTime()
+    attempts = Attempts(now)
+    for number in range(MAX_KEPT + 1):
+        attempts.arrive(f"k{number}", 2.0)
+        attempts.begin(f"k{number}")
+    assert attempts.fence("k0", drop_queued=True) is AttemptState.FORGOTTEN
+    now.now += KEEP_S + 3
+    assert attempts.fence("k-new", drop_queued=True) is AttemptState.FENCED
