--- a/benchmarks/randomised.py
+++ b/benchmarks/randomised.py
@@ -250,13 +250,11 @@
     def check_stops(self) -> None:
         """Check that a stopping instance got no work past the bound."""
         for name, at in self.stops:
+            started = [
+                event["timestamp"] for event in self.fleet.events(name, "started")
+            ]
+            until = min((time for time in started if time > at), default=float("inf"))
             for run in self.fleet.nodes[name].target.ledger:
-                successors = [
-                    event["timestamp"]
-                    for event in self.fleet.events(name, "started")
-                    if event["timestamp"] > at
-                ]
-                until = min(successors, default=float("inf"))
                 if at + LEAVE_BOUND_S < run.at < until:
                     self.outcome.violate("no new work while leaving", f"{name}: {run}")
 
