Say not run only if no attempt of the request may have run

Ruled out: the fence (it was not asked), the target's mark. Change: the outcome of an answer holds over all attempts of its request.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -25,6 +25,7 @@
 MEMBERS = "ragwortferry/spread/tests/test_members.py"
 STATUS = "ragwortferry/spread/tests/test_status.py"
 REQUESTS = "ragwortferry/requests/tests/test_processes.py"
+ENTRY = "ragwortferry/requests/tests/test_entry.py"
 SLOTS = "ragwortferry/requests/tests/test_slots.py"
 BALANCE = "ragwortferry/requests/tests/test_balance.py"
 BOUND_S = 180
@@ -175,6 +176,13 @@
         "            if",
         f"{BALANCE}::test_a_fence_proves_nothing_once_attempts_were_dropped_early",
     ),
+    Mechanism(
+        "outcome over all attempts",
+        "ragwortferry/requests/entry.py",
+        "last = _with_what_came_before(error, last)",
+        "last = error",
+        f"{ENTRY}::test_not_run_is_said_only_if_no_attempt_may_have_run",
+    ),
     Mechanism(
         "no second try of what may have run",
         "ragwortferry/requests/entry.py",
--- a/ragwortferry/requests/entry.py
+++ b/ragwortferry/requests/entry.py
@@ -150,11 +150,11 @@
             try:
                 return await self._try(attempt, instance, record)
             except RequestError as error:
-                last = error
+                last = _with_what_came_before(error, last)
                 if error.kind is not ErrorKind.FENCED:
                     tried.append(instance.id)
                 if not self._may_retry(error, attempt, route, len(record.attempts)):
-                    raise
+                    raise last from None
                 self.retries += 1
 
     def _may_retry(
@@ -199,6 +199,21 @@
         return await self._remote.send(instance, attempt)
 
 
+def _with_what_came_before(
+    error: RequestError, before: RequestError | None
+) -> RequestError:
+    """Return an error whose outcome holds for all attempts of the request.
+
+    An attempt that did not run proves nothing about an earlier one that may have.
+    """
+    unsure = before is not None and before.outcome is not Outcome.NOT_RUN
+    if unsure and error.outcome is Outcome.NOT_RUN:
+        detail = f"{error.detail}; an earlier attempt may have run"
+        outcome = before.outcome
+        return RequestError(error.kind, detail, outcome, error.retry_after)
+    return error
+
+
 def _policy(snapshot: Snapshot, route: Route) -> Policy:
     return Policy(
         snapshot.version,
