--- a/benchmarks/randomised.py
+++ b/benchmarks/randomised.py
@@ -86,6 +86,7 @@
     def __init__(self, fleet: Fleet, seed: int):
         self.fleet = fleet
         self.rng = random.Random(seed)
+        self._load_rng = random.Random(seed + 1)
         self.outcome = Outcome(seed)
         self.calls: list[Call] = []
         self.digests: dict[int, str] = {}
@@ -141,7 +142,7 @@
     def seeds(self, name: str) -> str:
         """Return the link addresses of two other instances."""
         others = [node.listed for key, node in self.fleet.nodes.items() if key != name]
-        picked = self.rng.sample(others, 2)
+        picked = self._load_rng.sample(others, 2)
         return ",".join(f"{item.host}:{item.link_port}" for item in picked)
 
     def later(self, action: Callable[[], Awaitable[None]]) -> None:
@@ -168,7 +169,7 @@
         while time.monotonic() < end:
             number += 1
             payment = number % 2 == 0
-            name = self.rng.choice(list(self.fleet.nodes))
+            name = self._load_rng.choice(list(self.fleet.nodes))
             await self._one(f"{worker}-{number}", name, payment)
             await asyncio.sleep(LOAD_PAUSE_S)
 
