Keep connections to a target inside their bound, duplicate connections in tests

Cause: the pool for shared connections and that for single ones each had the whole bound of a target; the stand-in knew no bound and the fault proxy no duplicated connects, which the issue asks for. Change: half of the bound for each; stand-in and fault proxy as asked; waits on events in place of three sleeps in tests.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -176,6 +176,20 @@
         "            if",
         f"{BALANCE}::test_a_fence_proves_nothing_once_attempts_were_dropped_early",
     ),
+    Mechanism(
+        "attempts that arrive twice",
+        "ragwortferry/requests/attempts.py",
+        "if state is not AttemptState.UNSEEN:",
+        "if False:",
+        f"{REQUESTS}::test_duplicated_connections_run_no_payment_twice",
+    ),
+    Mechanism(
+        "bound on connections",
+        "ragwortferry/requests/target.py",
+        "kept = connections // 2",
+        "kept, connections = connections, 2 * connections",
+        f"{REQUESTS}::test_connections_to_a_target_stay_inside_their_bound",
+    ),
     Mechanism(
         "outcome over all attempts",
         "ragwortferry/requests/entry.py",
--- a/ragwortferry/document/models.py
+++ b/ragwortferry/document/models.py
@@ -61,7 +61,7 @@
     name: Name
     upstreams: Annotated[tuple[UpstreamModel, ...], Meta(min_length=1)]
     slots: Annotated[int, Meta(ge=1, le=10_000)] = 20
-    connections: Annotated[int, Meta(ge=1, le=100_000)] = 130
+    connections: Annotated[int, Meta(ge=2, le=100_000)] = 130
     queue: Annotated[int, Meta(ge=0, le=100_000)] = 40
     slow_start_s: Annotated[float, Meta(ge=0, le=600)] = 5.0
 
--- a/ragwortferry/requests/target.py
+++ b/ragwortferry/requests/target.py
@@ -58,15 +58,20 @@
                 await pool.close()
 
     def configure(self, slots: int, connections: int, queue: int, ramp_s: float):
-        """Take over the limits of the snapshot in force."""
+        """Take over the limits of the snapshot in force.
+
+        Half of the connections may be kept for requests that share them, the others are
+        for requests that each take a new one.
+        """
         self._slots.configure(slots, queue, ramp_s)
         if connections != self._connections:
             self._connections = connections
             for pool in (self._pool, self._single):
                 if pool:
                     pool.renew()
-            self._pool = Pool(self._host, limit=connections)
-            self._single = Pool(self._host, limit=connections, single=True)
+            kept = connections // 2
+            self._pool = Pool(self._host, limit=kept)
+            self._single = Pool(self._host, limit=connections - kept, single=True)
 
     async def send(self, attempt: Attempt, begin) -> TargetReply:
         """Run an attempt and return its answer, which holds a slot until it is closed.
--- a/ragwortferry/requests/tests/test_processes.py
+++ b/ragwortferry/requests/tests/test_processes.py
@@ -58,6 +58,27 @@
         assert not (outcome == "ran" and count != 1), (request_id, count)
 
 
+async def some_run(fleet):
+    """Wait until some request runs at a target."""
+
+    async def running_somewhere():
+        return any(node.target.running for node in fleet.nodes.values())
+
+    await wait_until(running_somewhere, BOUND_S, "a request runs")
+
+
+async def have_run(fleet, count):
+    """Wait until so many requests have run; say whether that came."""
+
+    async def ran():
+        return sum(len(n.target.ledger) for n in fleet.nodes.values()) >= count
+
+    try:
+        return await wait_until(ran, 2.0, f"{count} requests have run")
+    except AssertionError:
+        return False
+
+
 async def pay_many(fleet, count, prefix, disturb=None, entries=None):
     """Send payments at once and disturb the fleet meanwhile."""
     entries = entries or list(fleet.nodes)
@@ -140,7 +161,7 @@
 
             async def disturb():
                 for name in ("tablero-2", "tablero-3"):
-                    await asyncio.sleep(0.05)
+                    await some_run(fleet)
                     fleet.kill(name)
 
             outcomes = await pay_many(
@@ -159,8 +180,9 @@
                 node.target.behaviour = Behaviour(delay_s=0.05)
 
             async def disturb():
-                for _ in range(5):
-                    await asyncio.sleep(0.03)
+                for number in range(1, 6):
+                    if not await have_run(fleet, 15 * number):
+                        return
                     for node in fleet.nodes.values():
                         node.fronts["owner"].reset()
 
@@ -170,6 +192,36 @@
     run(scenario())
 
 
+def test_duplicated_connections_run_no_payment_twice(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 3, zones=1) as fleet:
+            for node in fleet.nodes.values():
+                node.fronts["owner"].fault = Fault.DUPLICATE
+                node.target.behaviour = Behaviour(delay_s=0.05)
+            outcomes = await pay_many(fleet, 60, "twin")
+            assert_truthful(fleet, outcomes)
+            assert Counter(outcomes.values())["ran"] >= 20
+
+    run(scenario())
+
+
+def test_connections_to_a_target_stay_inside_their_bound(tmp_path):
+    async def scenario():
+        document = texts(1, extra="slots = 4\nconnections = 4\nqueue = 200")
+        async with running(tmp_path, 1, zones=1, document=document) as fleet:
+            target = fleet.nodes[ENTRY].target
+            target.behaviour = Behaviour(connections=4, delay_s=0.02)
+            lookups = [fleet.call(ENTRY, "GET", f"/tablero/{n}") for n in range(40)]
+            replies, outcomes = await asyncio.gather(
+                asyncio.gather(*lookups), pay_many(fleet, 40, "c")
+            )
+            assert {reply.status for reply in replies} == {200}
+            assert set(outcomes.values()) == {"ran"}
+            assert target.most_connections <= 4
+
+    run(scenario())
+
+
 def test_a_payment_over_a_silent_connection_is_found_out_and_paid(tmp_path):
     async def scenario():
         async with running(tmp_path, 3, zones=1) as fleet:
@@ -490,7 +542,7 @@
                 fleet.nodes[name].target.behaviour = Behaviour(slots=1, delay_s=0.05)
 
             async def disturb():
-                await asyncio.sleep(0.05)
+                await some_run(fleet)
                 fleet.network.separate(zone_a, [zone_b], Fault.SILENT)
                 fleet.kill("tablero-4")
 
--- a/ragwortferry/source/tests/test_source.py
+++ b/ragwortferry/source/tests/test_source.py
@@ -7,7 +7,7 @@
 from ragwortferry.source.port import ACCEPTED_KEY, open_source, section_key
 from ragwortferry.tests.builders import instance, run, section
 from ragwortferry.utils.digests import content_digest
-from standins.fleet import free_ports
+from standins.fleet import free_ports, wait_until
 from standins.platform import Faults, Platform, PlatformServer
 
 
@@ -35,7 +35,11 @@
             waiting = asyncio.ensure_future(
                 served.source.watch(ACCEPTED_KEY, first.revision, 5)
             )
-            await asyncio.sleep(0.05)
+
+            async def watching():
+                return served.platform.calls["key"] == 3
+
+            await wait_until(watching, 5, "the watch has begun")
             served.platform.put(ACCEPTED_KEY, b"2")
             assert (await waiting).data == b"2"
             assert await served.source.watch(ACCEPTED_KEY, 2, 0.05) is None
--- a/standins/network.py
+++ b/standins/network.py
@@ -20,6 +20,7 @@
     SILENT_BACK = "silent-back"
     DELAY = "delay"
     SLOW = "slow"
+    DUPLICATE = "duplicate"
 
 
 def zone_of(host: str) -> str:
@@ -150,8 +151,11 @@
             self._host, self._to_port, local_addr=(source, 0)
         )
         self._open[writer] = far_writer
+        twin = await self._open_twin(writer, source)
         pumps = [
-            asyncio.ensure_future(self._pump(reader, far_writer, writer, there=True)),
+            asyncio.ensure_future(
+                self._pump(reader, far_writer, writer, there=True, twin=twin)
+            ),
             asyncio.ensure_future(self._pump(far_reader, writer, writer, there=False)),
         ]
         try:
@@ -162,8 +166,19 @@
             self._open.pop(writer, None)
             self._stuck.discard(writer)
             far_writer.transport.abort()
+            if twin:
+                twin.transport.abort()
+
+    async def _open_twin(self, near, source: str) -> asyncio.StreamWriter | None:
+        """Open the second connection of a duplicated one, whose answers are lost."""
+        if self._fault_for(near) is not Fault.DUPLICATE:
+            return None
+        _, twin = await asyncio.open_connection(
+            self._host, self._to_port, local_addr=(source, 0)
+        )
+        return twin
 
-    async def _pump(self, reader, writer, near, there: bool) -> None:
+    async def _pump(self, reader, writer, near, there: bool, twin=None) -> None:
         quiet = Fault.SILENT_THERE if there else Fault.SILENT_BACK
         while True:
             fault = self._fault_for(near)
@@ -181,6 +196,8 @@
                 return
             self._count(len(chunk), there)
             writer.write(chunk)
+            if twin:
+                twin.write(chunk)
             await writer.drain()
 
     def _count(self, size: int, there: bool) -> None:
--- a/standins/target.py
+++ b/standins/target.py
@@ -20,6 +20,7 @@
     """How the target behaves.
 
     :param slots: requests that it runs at once; more are shed.
+    :param connections: connections that it accepts; more are reset.
     :param cold_s: seconds after the start in which everything is slow.
     :param delay_s: seconds that a request takes.
     :param shed: whether every request is refused as not run.
@@ -30,6 +31,7 @@
     """
 
     slots: int = 20
+    connections: int = 130
     cold_s: float = 0.0
     delay_s: float = 0.0
     shed: bool = False
@@ -61,6 +63,7 @@
     ledger: list[Run] = field(default_factory=list)
     running: int = 0
     most_running: int = 0
+    most_connections: int = 0
     refused: int = 0
     started: float = field(default_factory=time.monotonic)
 
@@ -83,10 +86,12 @@
     def __init__(self, target: Target):
         self.target = target
         self._runner: web.ServerRunner | None = None
+        self._server: web.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port."""
         server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        self._server = server
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
         site = web.TCPSite(self._runner, host, port, shutdown_timeout=0.1)
@@ -101,6 +106,11 @@
         target, behaviour = self.target, self.target.behaviour
         if request.path.startswith("/control/"):
             return await self._control(request)
+        count = len(self._server.connections)
+        target.most_connections = max(target.most_connections, count)
+        if count > behaviour.connections:
+            request.transport.abort()
+            return web.Response()
         if behaviour.leaving or behaviour.shed or target.running >= behaviour.slots:
             target.refused += 1
             leaving = {"X-Target-Leaving": "1"} if behaviour.leaving else {}
