Measure how long a version took to spread, at each proxy

Cause: the metrics told a version's age but not its convergence, which the users weigh most. Change: the reader that first reads a version stamps it; each proxy logs and exports the seconds until it came into force there (by two wall clocks).

--- a/ragwortferry/metrics.py
+++ b/ragwortferry/metrics.py
@@ -46,6 +46,7 @@
         gauges = {
             "ragwortferry.version": ("{version}", self._version),
             "ragwortferry.version.age": ("s", self._version_age),
+            "ragwortferry.version.spread": ("s", self._version_spread),
             "ragwortferry.slots.in_use": ("{slot}", self._slots),
             "ragwortferry.slots.queued": ("{request}", self._queued),
             "ragwortferry.request.in_flight": ("{request}", self._in_flight),
@@ -96,6 +97,9 @@
         enforced_at = self._kernel.get("store").enforced_at
         yield Observation(time.time() - enforced_at if enforced_at else 0.0)
 
+    def _version_spread(self, options: CallbackOptions) -> Iterable[Observation]:
+        yield Observation(self._kernel.get("store").spread_s)
+
     def _slots(self, options: CallbackOptions) -> Iterable[Observation]:
         yield Observation(self._kernel.get("target").slots.in_use)
 
--- a/ragwortferry/spread/messages.py
+++ b/ragwortferry/spread/messages.py
@@ -123,6 +123,7 @@
     :param changed: digests of the sections that differ, by name.
     :param removed: sections that are gone.
     :param texts: zlib-compressed section texts by digest.
+    :param seen_ms: wall clock of the reader that first read the version.
     """
 
     base: Mark
@@ -131,6 +132,7 @@
     changed: dict[str, str]
     removed: list[str]
     texts: dict[str, bytes]
+    seen_ms: Count = 0
 
 
 class Ack(Struct, tag="ack", tag_field="t", frozen=True):
--- a/ragwortferry/spread/peers.py
+++ b/ragwortferry/spread/peers.py
@@ -380,7 +380,9 @@
             return
         if manifest is None:
             raise LinkError("protocol error: update does not match its digest")
-        await self._store.apply(manifest, message.texts, via=peer.instance.id)
+        await self._store.apply(
+            manifest, message.texts, peer.instance.id, message.seen_ms
+        )
         peer.mark = message.mark
         self._ack(peer)
 
--- a/ragwortferry/spread/reader.py
+++ b/ragwortferry/spread/reader.py
@@ -31,6 +31,7 @@
 from ragwortferry.spread.members import Members
 from ragwortferry.spread.messages import Mark
 from ragwortferry.spread.store import Refusal, VersionStore, pack
+from ragwortferry.utils.clock import physical_ms
 from ragwortferry.utils.digests import content_digest
 from ragwortferry.utils.pacing import Backoff, TokenBucket
 
@@ -189,8 +190,9 @@
         self._log.event(
             "accepted-seen", f"version {mark.version} read", version=mark.version
         )
+        seen_ms = physical_ms()
         manifest = await self._manifest_of(accepted.ok)
-        await self._fetch_and_apply(manifest, mark)
+        await self._fetch_and_apply(manifest, mark, seen_ms)
 
     async def _manifest_of(self, accepted: Manifest | Pointer) -> Manifest:
         """Return the manifest itself, worked out or read for a short form."""
@@ -211,11 +213,13 @@
             raise SourceError(text)
         return manifest.ok
 
-    async def _fetch_and_apply(self, manifest: Manifest, mark: Mark) -> None:
+    async def _fetch_and_apply(
+        self, manifest: Manifest, mark: Mark, seen_ms: int
+    ) -> None:
         texts = await self._fetch_sections(manifest)
         match texts:
             case Result(tag="ok", ok=packed):
-                await self._store.apply(manifest, packed, via="source")
+                await self._store.apply(manifest, packed, "source", seen_ms)
             case Result(error=reason):
                 self._store.refuse(Refusal(mark, reason, final=False))
                 raise SourceError(reason)
--- a/ragwortferry/spread/store.py
+++ b/ragwortferry/spread/store.py
@@ -68,7 +68,9 @@
         self._high = NOTHING
         self._floor = NOTHING
         self._ready = False
+        self._seen_ms = 0
         self.enforced_at = 0.0
+        self.spread_s = 0.0
         self.floor_proven = True
 
     @property
@@ -166,13 +168,18 @@
         return refusal if same and refusal.final else None
 
     async def apply(
-        self, manifest: Manifest, texts: Mapping[str, bytes], via: str
+        self,
+        manifest: Manifest,
+        texts: Mapping[str, bytes],
+        via: str,
+        seen_ms: int = 0,
     ) -> Result[bool, Refusal]:
         """Check a version whole and enforce it.
 
         :param manifest: manifest of the version.
         :param texts: compressed texts by digest of the sections not held already.
         :param via: where the version came from, for the log.
+        :param seen_ms: wall clock of the reader that first read the version.
         :returns: whether the version was put in force, or the refusal.
         """
         mark = Mark(manifest.version, content_digest(encode_manifest(manifest)))
@@ -187,7 +194,7 @@
             )
             match result:
                 case Result(tag="ok", ok=snapshot):
-                    self._enforce(snapshot, texts, via)
+                    self._enforce(snapshot, texts, via, seen_ms)
                     return Ok(True)
                 case Result(error=reason):
                     refusal = Refusal(mark, reason, final=True)
@@ -224,7 +231,7 @@
             lambda model: Section.from_model(name, digest, model)
         )
 
-    def _enforce(self, snapshot: Snapshot, texts, via: str) -> None:
+    def _enforce(self, snapshot: Snapshot, texts, via: str, seen_ms: int) -> None:
         mark = Mark(snapshot.version, snapshot.digest)
         before = self.mark
         if mark.version <= before.version or mark.version < self._floor.version:
@@ -234,6 +241,8 @@
         self._keep_texts(snapshot, texts)
         self._snapshot = snapshot
         self.enforced_at = time.time()
+        self._seen_ms = seen_ms
+        self.spread_s = max(0.0, self.enforced_at - seen_ms / 1000) if seen_ms else 0.0
         self.observe_high(mark)
         self._log.event(
             "enforced",
@@ -242,6 +251,7 @@
             digest=mark.digest,
             before=before.version,
             via=via,
+            spread_s=round(self.spread_s, 3),
         )
         self._notify()
 
@@ -261,7 +271,9 @@
         changed = {name: sections[name] for name in names}
         texts = {digest: self._texts[digest] for digest in changed.values()}
         made_from = snapshot.manifest.base
-        return Update(base, self.mark, made_from, changed, removed, texts)
+        return Update(
+            base, self.mark, made_from, changed, removed, texts, self._seen_ms
+        )
 
     def _changes_since(self, have: Mark) -> tuple[Mark, list[str], list[str]]:
         sections = self._snapshot.manifest.sections
--- a/ragwortferry/spread/tests/test_processes.py
+++ b/ragwortferry/spread/tests/test_processes.py
@@ -55,6 +55,9 @@
             fleet.publish(texts(12, timeout_ms=1500), 2)
             await fleet.wait_version(2)
             assert fleet.platform.calls["key"] - before <= 4 * 3
+            last = [fleet.events(name, "enforced")[-1] for name in fleet.nodes]
+            spread = [event["spread_s"] for event in last]
+            assert 0 < max(spread) < SPREAD_BOUND_S
 
     run(scenario())
 
