--- a/ragwortferry/logs.py
+++ b/ragwortferry/logs.py
@@ -66,10 +66,6 @@
             }
         )
 
-    def info(self, sentence: str, **fields: Any) -> None:
-        """Write a note."""
-        self.event("note", sentence, **fields)
-
     def error(self, sentence: str, reason: object, **fields: Any) -> None:
         """Write a failure with its reason."""
         text = f"{type(reason).__name__}: {reason}" if reason else "unknown"
--- a/ragwortferry/spread/peer.py
+++ b/ragwortferry/spread/peer.py
@@ -1,8 +1,9 @@
 """One link and what is known of the process at its other end."""
 
-__all__ = ["Peer", "SpreadTimes"]
+__all__ = ["Peer", "SpreadTimes", "parent_among"]
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ragwortferry.source.port import Instance
@@ -75,3 +76,8 @@
     def is_parent(self) -> bool:
         """Return whether the peer pushes to this process."""
         return self.outgoing and self.mode is Mode.ACTIVE
+
+
+def parent_among(peers: Iterable[Peer]) -> Peer | None:
+    """Return the peer that pushes to this process, if there is one."""
+    return next((peer for peer in peers if peer.is_parent), None)
--- a/ragwortferry/spread/peers.py
+++ b/ragwortferry/spread/peers.py
@@ -32,7 +32,7 @@
     Update,
     Welcome,
 )
-from ragwortferry.spread.peer import Peer, SpreadTimes
+from ragwortferry.spread.peer import Peer, SpreadTimes, parent_among
 from ragwortferry.spread.reporting import Reporter
 from ragwortferry.spread.store import Refusal, VersionStore
 from ragwortferry.utils.clock import HybridClock
@@ -94,11 +94,6 @@
         self.counters = LinkCounters()
         self.incarnation = uuid.uuid4().hex
 
-    @property
-    def times(self) -> SpreadTimes:
-        """Return the periods and bounds of the links."""
-        return self._times
-
     @property
     def peers(self) -> frozenset[Peer]:
         """Return the open links."""
@@ -112,7 +107,7 @@
     @property
     def parent(self) -> Peer | None:
         """Return the peer that pushes to this process."""
-        return next((peer for peer in self._peers if peer.is_parent), None)
+        return parent_among(self._peers)
 
     async def start(self) -> None:
         """Listen for links and start the heartbeats."""
--- a/ragwortferry/spread/reporting.py
+++ b/ragwortferry/spread/reporting.py
@@ -15,7 +15,7 @@
     SubtreeReport,
     ZoneSummary,
 )
-from ragwortferry.spread.peer import Peer, SpreadTimes
+from ragwortferry.spread.peer import Peer, SpreadTimes, parent_among
 from ragwortferry.spread.status import Fleet, StatusTable
 from ragwortferry.spread.store import VersionStore
 from ragwortferry.utils.clock import HybridClock
@@ -101,7 +101,7 @@
             self.fleet.merge([self.table.summary(self._clock)])
 
     def _parent(self) -> Peer | None:
-        return next((peer for peer in self._peers() if peer.is_parent), None)
+        return parent_among(self._peers())
 
     def _send_report(self) -> None:
         if self._report_due:
