--- a/ragwortferry/cli.py
+++ b/ragwortferry/cli.py
@@ -54,6 +54,19 @@
     return flag.replace("-", "_") in spelled
 
 
+@one_line_errors
+def node() -> None:
+    """Run the node of this instance on the users' platform until it is told to stop.
+
+    Its settings come from the file that the environment variable
+    RAGWORTFERRY_SETTINGS names.
+    """
+    from ragwortferry.mesh.node import Node
+    from ragwortferry.platform.boot import settings_path
+
+    raise SystemExit(Node(settings_path()).run())
+
+
 @one_line_errors
 def check(
     directory: str,
@@ -146,6 +159,7 @@
 
 COMMANDS = {
     "run": run,
+    "node": node,
     "check": check,
     "status": status,
     "explain": explain,
--- a/ragwortferry/composition.py
+++ b/ragwortferry/composition.py
@@ -3,7 +3,6 @@
 __all__ = ["Process"]
 
 import asyncio
-import gc
 import random
 import signal
 from dataclasses import dataclass
@@ -22,6 +21,7 @@
 from ragwortferry.requests.owner import Owner
 from ragwortferry.requests.remote import RemoteOwners
 from ragwortferry.requests.target import Target
+from ragwortferry.runtime import KernelService, first_of, spare_collector
 from ragwortferry.settings import Settings
 from ragwortferry.source import directory, http  # noqa: F401 (they register adapters)
 from ragwortferry.source.port import Instance, open_source
@@ -38,24 +38,9 @@
 
 SOURCE_BURST = 50.0
 STOP_GRACE_S = 10.0
-YOUNG_OBJECTS = 10_000
 EXIT_INVARIANT = 3
 
 
-class KernelService(aiomisc.Service):
-    """Runs the kernel inside the aiomisc entrypoint."""
-
-    kernel: Kernel
-
-    async def start(self) -> None:
-        """Start the services."""
-        await self.kernel.start()
-
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Stop the services."""
-        await self.kernel.stop()
-
-
 class Process:
     """One running proxy.
 
@@ -96,7 +81,7 @@
         )
         try:
             async with entrypoint:
-                _spare_collector()
+                spare_collector()
                 self._log.event(
                     "started", "process started", settings=self._described()
                 )
@@ -119,7 +104,7 @@
     async def _wait_end(self, kernel: Kernel) -> None:
         """Wait for a signal, then leave in order."""
         reader = kernel.get("reader")
-        await _first_of(self._stopping, kernel.failed, reader.stuck)
+        await first_of(self._stopping, kernel.failed, reader.stuck)
         if reader.stuck.is_set():
             raise SourceError(f"nothing can come into force: {reader.problem}")
         if kernel.failed.is_set():
@@ -127,7 +112,7 @@
         kernel.get("drain").leave("signal")
         drained = asyncio.Event()
         kernel.spawn(self._drain(kernel, drained), "drain")
-        await _first_of(drained, self._hurrying, kernel.failed)
+        await first_of(drained, self._hurrying, kernel.failed)
 
     async def _drain(self, kernel: Kernel, drained: asyncio.Event) -> None:
         """Close the listening port after a while and wait for requests in flight."""
@@ -137,14 +122,6 @@
         drained.set()
 
 
-async def _first_of(*events: asyncio.Event) -> None:
-    """Wait until one of the events is set."""
-    waits = [asyncio.ensure_future(event.wait()) for event in events]
-    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-    for wait in waits:
-        wait.cancel()
-
-
 @dataclass(frozen=True, slots=True)
 class _Base:
     """What all services of the process are built from."""
@@ -245,13 +222,6 @@
     kernel.add("entry", entry)
 
 
-def _spare_collector() -> None:
-    """Keep what was loaded at the start out of the garbage collector's rounds."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(YOUNG_OBJECTS)
-
-
 def _own_instance(settings: Settings) -> Instance:
     return Instance(
         settings.instance,
--- a/ragwortferry/exceptions.py
+++ b/ragwortferry/exceptions.py
@@ -43,6 +43,7 @@
     NOT_OWNER = "not-owner"
     DEADLINE_BEFORE_RUN = "deadline-before-run"
     DEADLINE = "deadline"
+    EXPIRED = "expired"
     UPSTREAM_LOST = "upstream-lost"
     UPSTREAM_SILENT = "upstream-silent"
     INTERNAL = "internal"
@@ -60,7 +61,7 @@
 
     status: int
     outcome: Outcome
-    retry_after: int | None = None
+    retry_after: float | None = None
     elsewhere: bool = False
 
 
@@ -83,6 +84,7 @@
     ErrorKind.NOT_OWNER: Answer(503, Outcome.NOT_RUN, retry_after=1, elsewhere=True),
     ErrorKind.DEADLINE_BEFORE_RUN: Answer(504, Outcome.NOT_RUN, retry_after=1),
     ErrorKind.DEADLINE: Answer(504, Outcome.UNKNOWN, retry_after=5),
+    ErrorKind.EXPIRED: Answer(503, Outcome.NOT_RUN, retry_after=1, elsewhere=True),
     ErrorKind.UPSTREAM_LOST: Answer(502, Outcome.UNKNOWN, retry_after=5),
     ErrorKind.UPSTREAM_SILENT: Answer(504, Outcome.UNKNOWN, retry_after=5),
     ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN, retry_after=5),
@@ -119,7 +121,7 @@
         kind: ErrorKind,
         detail: str = "",
         outcome: Outcome | None = None,
-        retry_after: int | None = None,
+        retry_after: float | None = None,
     ):
         super().__init__(f"{kind}: {detail}")
         self.kind = kind
--- /dev/null
+++ b/ragwortferry/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 connections: a pipelining server and a strict client."""
--- /dev/null
+++ b/ragwortferry/http1/client.py
@@ -0,0 +1,306 @@
+"""Client connections that attribute every byte to one request or to none."""
+
+__all__ = [
+    "AnswerHead",
+    "ClientConnection",
+    "ConnectionBrokenError",
+    "Pool",
+    "Sink",
+    "open_to",
+]
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+import httptools
+
+from ragwortferry.http1.messages import BODYLESS, Headers, find
+from ragwortferry.utils.sockets import Address, connected_socket
+
+# Seconds for which an idle connection is kept if the server does not say.
+DEFAULT_IDLE_S = 4.0
+# Seconds before the end that the server announces at which a connection is given up.
+IDLE_MARGIN_S = 1.0
+# Seconds until a connection must be established: the peer is on the same instance or
+# a few milliseconds away.
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ConnectionBrokenError(Exception):
+    """The connection ended, or carried what is no answer.
+
+    :param sent: whether a part of the request may have reached the server.
+    """
+
+    def __init__(self, reason: str, sent: bool):
+        super().__init__(reason)
+        self.sent = sent
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """Status and headers of an answer.
+
+    :param length: length of the body, ``None`` if it is not announced.
+    """
+
+    status: int
+    headers: Headers
+    length: int | None
+
+
+class Sink(Protocol):
+    """Receives one answer."""
+
+    def accepts(self, head: AnswerHead) -> bool:
+        """Return whether the answer belongs to this request."""
+
+    def on_head(self, head: AnswerHead) -> None:
+        """Receive the head."""
+
+    def on_data(self, data: bytes) -> None:
+        """Receive a part of the body."""
+
+    def on_end(self) -> None:
+        """Note that the answer is complete."""
+
+    def on_broken(self, error: ConnectionBrokenError) -> None:
+        """Note that the answer is not coming, or not whole."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection that carries one request at a time.
+
+    :param on_idle: called with the connection when it may carry another request.
+    """
+
+    def __init__(self, address: Address):
+        self.address = address
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._sink: Sink | None = None
+        self._bodyless = False
+        self._skipping = False
+        self._until_eof = False
+        self._head_done = False
+        self._headers: Headers = []
+        self._idle_s = DEFAULT_IDLE_S
+        self.idle_since = self._loop.time()
+        self.reusable = True
+        self.used = 0
+
+    @property
+    def usable(self) -> bool:
+        """Return whether another request may be sent now."""
+        return (
+            self.reusable
+            and self._sink is None
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    def idle_for(self) -> float:
+        """Return the seconds since the last answer."""
+        return self._loop.time() - self.idle_since
+
+    @property
+    def expired(self) -> bool:
+        """Return whether the server may close the connection soon."""
+        return self.idle_for() > self._idle_s
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Take the connection in."""
+        self._transport = transport
+
+    def send(self, data: bytes, sink: Sink, bodyless: bool = False) -> None:
+        """Send a request.
+
+        :param bodyless: whether its answer has no body whatever its headers say.
+        """
+        self.used += 1
+        self._sink, self._bodyless = sink, bodyless
+        self._transport.write(data)
+
+    def close(self) -> None:
+        """Close the connection; the server drops the request that it runs."""
+        self.reusable = False
+        self._sink = None
+        if self._transport:
+            self._transport.abort()
+
+    def pause(self) -> None:
+        """Read no more for now."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; bytes that belong to no request end the connection."""
+        if self._sink is None:
+            self._drop()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._break(f"not an answer: {error}")
+
+    def eof_received(self) -> bool:
+        """End an answer that lasts as long as the connection."""
+        if self._until_eof and self._sink is not None:
+            self._complete()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report an answer that is not whole."""
+        self.reusable = False
+        self._break(f"connection lost: {exc or 'closed'}")
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        self._headers, self._head_done = [], False
+        self._skipping = self._until_eof = False
+        if self._sink is None:
+            self.reusable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Find out whose answer this is."""
+        status = self._parser.get_status_code()
+        if self._sink is None or status < 200:
+            self._skipping = True
+            return
+        length = find(self._headers, "content-length")
+        chunked = "chunked" in find(self._headers, "transfer-encoding").lower()
+        head = AnswerHead(status, self._headers, int(length) if length else None)
+        if not self._sink.accepts(head):
+            self._skipping = True
+            self._until_eof = False
+            return
+        self._head_done = True
+        self._until_eof = not length and not chunked and status not in BODYLESS
+        self._note_lifetime()
+        self._sink.on_head(head)
+        if self._bodyless:
+            self._complete()
+
+    def on_body(self, data: bytes) -> None:
+        """Pass a part of the body on."""
+        if self._sink is not None and not self._skipping:
+            self._sink.on_data(data)
+
+    def on_message_complete(self) -> None:
+        """End the answer."""
+        if not self._skipping and self._sink is not None:
+            if not self._parser.should_keep_alive():
+                self.reusable = False
+            self._complete()
+
+    def _note_lifetime(self) -> None:
+        for part in find(self._headers, "keep-alive").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                self._idle_s = max(0.0, int(value) - IDLE_MARGIN_S)
+        if find(self._headers, "connection").lower() == "close":
+            self.reusable = False
+
+    def _complete(self) -> None:
+        sink, self._sink = self._sink, None
+        self.idle_since = self._loop.time()
+        if self._until_eof or self._bodyless:
+            self.reusable = False
+        sink.on_end()
+        if not self.reusable and self._transport:
+            self._transport.close()
+
+    def _break(self, reason: str) -> None:
+        sink, self._sink = self._sink, None
+        self.reusable = False
+        if self._transport:
+            self._transport.abort()
+        if sink is not None:
+            sink.on_broken(ConnectionBrokenError(reason, sent=True))
+
+    def _drop(self) -> None:
+        self.reusable = False
+        if self._transport:
+            self._transport.abort()
+
+
+async def open_to(address: Address, own_host: str = "") -> ClientConnection:
+    """Open a connection to an IP number.
+
+    :raises ConnectionBrokenError: if it cannot be established in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            sock = await connected_socket(address, own_host)
+            _, connection = await loop.create_connection(
+                lambda: ClientConnection(address), sock=sock
+            )
+        return connection
+    except (OSError, TimeoutError) as error:
+        reason = f"cannot connect to {address.host}:{address.port}: {error!r}"
+        raise ConnectionBrokenError(reason, sent=False) from None
+
+
+class Pool:
+    """Idle connections to one address, the most recently used first.
+
+    :param own_host: IP number from which connections are made.
+    """
+
+    def __init__(self, address: Address, own_host: str = ""):
+        self._address = address
+        self._own_host = own_host
+        self._idle: list[ClientConnection] = []
+        self.opened = 0
+
+    async def acquire(self, max_idle_s: float) -> ClientConnection:
+        """Return a connection that was used within ``max_idle_s``, or a new one.
+
+        :raises ConnectionBrokenError: if none can be opened.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.usable or connection.expired:
+                connection.close()
+                continue
+            if connection.idle_for() > max_idle_s:
+                self._idle.append(connection)
+                break
+            return connection
+        self.opened += 1
+        return await open_to(self._address, self._own_host)
+
+    def release(self, connection: ClientConnection) -> None:
+        """Take back a connection whose answer is complete."""
+        if connection.usable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def prune(self) -> None:
+        """Close the connections that were idle for too long."""
+        kept = []
+        for connection in self._idle:
+            if connection.usable and not connection.expired:
+                kept.append(connection)
+            else:
+                connection.close()
+        self._idle = kept
+
+    def clear(self) -> None:
+        """Close all idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
--- /dev/null
+++ b/ragwortferry/http1/messages.py
@@ -0,0 +1,112 @@
+"""Requests and answers as they stand on the wire, and their encoding."""
+
+__all__ = [
+    "Headers",
+    "Request",
+    "encode_answer",
+    "encode_request",
+    "end_to_end",
+    "find",
+]
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+Headers = list[tuple[str, str]]
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    )
+)
+BODYLESS = frozenset((204, 304))
+CRLF = "\r\n"
+REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One request of a caller, read to its end.
+
+    :param target: path and query as they were sent.
+    :param arrived: loop time at which its first byte was read.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+    arrived: float
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.partition("?")[0]
+
+
+def find(headers: Headers, name: str, default: str = "") -> str:
+    """Return the first value of a header.
+
+    >>> find([("Host", "a.example")], "host")
+    'a.example'
+    """
+    wanted = name.lower()
+    for key, value in headers:
+        if key.lower() == wanted:
+            return value
+    return default
+
+
+def end_to_end(headers: Headers, *without: str) -> Headers:
+    """Return the headers that concern more than one connection.
+
+    :param without: lower-case names of further headers to leave out.
+
+    >>> end_to_end([("Connection", "x-a"), ("X-A", "1"), ("B", "2")])
+    [('B', '2')]
+    """
+    named = find(headers, "connection").lower().split(",")
+    dropped = {name.strip() for name in named} | HOP_BY_HOP | set(without)
+    return [item for item in headers if item[0].lower() not in dropped]
+
+
+def encode_request(method: str, target: str, headers: Headers, body: bytes) -> bytes:
+    """Return a request with a length in place of any other framing."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(body)}")
+    return _head(lines) + body
+
+
+def encode_answer(
+    status: int, headers: Headers, length: int | None, close: bool
+) -> bytes:
+    """Return the head of an answer.
+
+    :param length: length of the body, ``None`` if it comes in chunks.
+    """
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if length is None:
+        lines.append("Transfer-Encoding: chunked")
+    elif status not in BODYLESS:
+        lines.append(f"Content-Length: {length}")
+    if close:
+        lines.append("Connection: close")
+    return _head(lines)
+
+
+def _head(lines: list[str]) -> bytes:
+    return (CRLF.join(lines) + CRLF + CRLF).encode("latin-1", "replace")
--- /dev/null
+++ b/ragwortferry/http1/server.py
@@ -0,0 +1,369 @@
+"""A server that reads pipelined requests while earlier ones run.
+
+Answers leave in the order of the requests. A caller that goes away cancels the handlers
+of its requests.
+"""
+
+__all__ = ["CallerConnection", "Exchange", "Server", "ServerLimits"]
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import httptools
+
+from ragwortferry.http1.messages import Headers, Request, encode_answer
+from ragwortferry.utils.sockets import listen
+
+# Requests of one connection that are read before the first is answered: bounds memory.
+MAX_PIPELINED = 64
+# Connections that wait to be accepted: covers a reconnect of all callers at once.
+BACKLOG = 1024
+# Period of the check for slow and idle connections, in seconds.
+SWEEP_S = 0.5
+# Seconds a closed connection stays open for reading, so that its last answer is not
+# lost to a reset.
+LINGER_S = 1.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+BAD_REQUEST, TIMEOUT, BODY_TOO_LARGE, HEADER_TOO_LARGE = 400, 408, 413, 431
+
+
+@dataclass(slots=True)
+class ServerLimits:
+    """What a caller may send; replaced whenever the configuration changes."""
+
+    header_bytes: int = 65_536
+    body_bytes: int = 64 * 2**20
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 60.0
+
+
+class Exchange:
+    """One request and the way back for its answer.
+
+    Parts of an answer are held back until the answers before it are complete.
+    """
+
+    def __init__(self, connection: "CallerConnection", request: Request):
+        self._connection = connection
+        self._held: list[bytes] = []
+        self._chunked = False
+        self.request = request
+        self.started = False
+        self.finished = False
+        self.close_after = not request.keep_alive
+        self.task: asyncio.Task | None = None
+
+    @property
+    def is_first(self) -> bool:
+        """Return whether all answers before this one are complete."""
+        return self._connection.first is self
+
+    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole answer."""
+        self._decide_close()
+        self.started = True
+        head = encode_answer(status, headers, len(body), self.close_after)
+        self._write(head + (b"" if self.request.method == "HEAD" else body))
+        self.finish()
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Send the head of an answer whose body follows."""
+        self._decide_close()
+        self.started, self._chunked = True, length is None
+        self._write(encode_answer(status, headers, length, self.close_after))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if data:
+            self._write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+
+    def finish(self) -> None:
+        """End the answer."""
+        if self._chunked:
+            self._write(b"0\r\n\r\n")
+        self.finished = True
+        self._connection.advance()
+
+    def abort(self) -> None:
+        """Break the connection off, so that an answer cut short cannot look whole."""
+        self._connection.abort()
+
+    async def drained(self) -> None:
+        """Wait until the caller has taken most of what was written."""
+        await self._connection.drained()
+
+    def flush(self) -> None:
+        """Send what was held back."""
+        held, self._held = self._held, []
+        for data in held:
+            self._connection.send(data)
+
+    def _decide_close(self) -> None:
+        if self._connection.wants_close and self._connection.last is self:
+            self.close_after = True
+
+    def _write(self, data: bytes) -> None:
+        if self.is_first:
+            self._connection.send(data)
+        else:
+            self._held.append(data)
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: "Server"):
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._pending: deque[Exchange] = deque()
+        self._ended = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._begin()
+        self.active_at = self._loop.time()
+
+    @property
+    def first(self) -> Exchange | None:
+        """Return the oldest exchange that is not answered."""
+        return self._pending[0] if self._pending else None
+
+    @property
+    def last(self) -> Exchange | None:
+        """Return the newest exchange that is not answered."""
+        return self._pending[-1] if self._pending else None
+
+    @property
+    def wants_close(self) -> bool:
+        """Return whether the server asks callers to leave."""
+        return self._server.closing
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is unanswered or half read."""
+        return bool(self._pending) or self._begun_at is not None
+
+    def _begin(self) -> None:
+        self._begun_at: float | None = None
+        self._target = b""
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._in_body = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Take the connection in."""
+        self._transport = transport
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the requests of a caller that went away."""
+        self._server.connections.discard(self)
+        self._ended = True
+        self._writable.set()
+        for exchange in self._pending:
+            if exchange.task:
+                exchange.task.cancel()
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as a caller that went away."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Note that the caller reads more slowly than it is written to."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Note that the caller has caught up."""
+        self._writable.set()
+
+    async def drained(self) -> None:
+        """Wait until more may be written."""
+        await self._writable.wait()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; the callbacks below build the requests."""
+        if self._ended:
+            return
+        self.active_at = self._loop.time()
+        if not self._in_body:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._reject(BAD_REQUEST)
+        if self._begun_at is not None and not self._in_body:
+            if self._header_bytes > self._server.limits.header_bytes:
+                self._reject(HEADER_TOO_LARGE)
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._begin()
+        self._begun_at = self._loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Go on to the body."""
+        self._in_body = True
+        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if size > self._server.limits.header_bytes:
+            self._reject(HEADER_TOO_LARGE)
+        elif any(
+            name.lower() == "expect" and value.lower() == "100-continue"
+            for name, value in self._headers
+        ):
+            self.send(CONTINUE)
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self._server.limits.body_bytes:
+            self._body.clear()
+            self._reject(BODY_TOO_LARGE)
+        else:
+            self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Hand the request to the handler."""
+        if self._ended:
+            return
+        request = Request(
+            self._parser.get_method().decode("latin-1"),
+            self._target.decode("latin-1"),
+            self._headers,
+            b"".join(self._body),
+            self._parser.should_keep_alive(),
+            self._begun_at or self._loop.time(),
+        )
+        self._begin()
+        exchange = Exchange(self, request)
+        self._pending.append(exchange)
+        if len(self._pending) >= MAX_PIPELINED:
+            self._transport.pause_reading()
+        exchange.task = self._loop.create_task(self._server.handle(exchange))
+
+    def send(self, data: bytes) -> None:
+        """Write to the caller if it is still there."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def advance(self) -> None:
+        """Send what later answers held back once the first is complete."""
+        self.active_at = self._loop.time()
+        while self._pending and self._pending[0].finished:
+            done = self._pending.popleft()
+            if done.close_after:
+                self._end()
+                return
+            if self._pending:
+                self._pending[0].flush()
+        if len(self._pending) < MAX_PIPELINED and not self._ended:
+            self._transport.resume_reading()
+
+    def sweep(self, now: float) -> None:
+        """Close a connection that is idle or too slow with its headers."""
+        limits = self._server.limits
+        if self._ended or self._pending:
+            return
+        if self._begun_at is None:
+            if now - self.active_at > limits.idle_timeout_s or self._server.closed:
+                self._end()
+        elif not self._in_body and now - self._begun_at > limits.header_timeout_s:
+            self._reject(TIMEOUT)
+
+    def abort(self) -> None:
+        """Break the connection off."""
+        self._ended = True
+        if self._transport:
+            self._transport.abort()
+
+    def _reject(self, status: int) -> None:
+        """Answer what cannot be read further, after the answers before it."""
+        if self._ended:
+            return
+        request = Request("", "", [], b"", False, self._loop.time())
+        exchange = Exchange(self, request)
+        self._begin()
+        self._pending.append(exchange)
+        exchange.respond(status, [])
+        self._ended = True
+
+    def _end(self) -> None:
+        """Stop writing now and reading a little later."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._ended = True
+        for exchange in self._pending:
+            if exchange.task:
+                exchange.task.cancel()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._loop.call_later(LINGER_S, self._transport.close)
+
+
+class Server:
+    """One listening port.
+
+    :param handler: answers each exchange; it must not raise.
+    """
+
+    def __init__(self, handler: Handler, host: str, port: int):
+        self._handler = handler
+        self._host = host
+        self._port = port
+        self._listener: asyncio.Server | None = None
+        self._sweeper: asyncio.Task | None = None
+        self.limits = ServerLimits()
+        self.connections: set[CallerConnection] = set()
+        self.closing = False
+        self.closed = False
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises OSError: if the port is taken.
+        """
+        loop = asyncio.get_running_loop()
+        sock = listen(self._host, self._port, BACKLOG)
+        self._listener = await loop.create_server(
+            lambda: CallerConnection(self), sock=sock
+        )
+        self._sweeper = loop.create_task(self._sweep())
+
+    async def stop(self) -> None:
+        """Close the port and the connections."""
+        self.closed = True
+        if self._sweeper:
+            self._sweeper.cancel()
+        if self._listener:
+            self._listener.close()
+        for connection in list(self.connections):
+            connection.sweep(asyncio.get_running_loop().time())
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Run the handler of one exchange."""
+        await self._handler(exchange)
+
+    async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            for connection in list(self.connections):
+                connection.sweep(loop.time())
--- a/ragwortferry/logs.py
+++ b/ragwortferry/logs.py
@@ -5,11 +5,12 @@
 import sys
 import time
 import uuid
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import eliot
 
 from ragwortferry.utils.clock import HybridClock
+from ragwortferry.utils.outlet import Outlet
 
 
 class LogContext:
@@ -72,12 +73,26 @@
         self.event("error", sentence, reason=text, **fields)
 
 
-def open_log(path: str) -> TextIO:
+class LineStream(Protocol):
+    """Takes lines of the log."""
+
+    def write(self, text: str) -> None:
+        """Take a line."""
+
+    def flush(self) -> None:
+        """Write out what waits."""
+
+
+def open_log(path: str) -> LineStream:
     """Send the log lines of this process to a file.
 
-    :param path: file to append to, ``"-"`` for standard error.
+    :param path: file to append to, ``"-"`` for standard error, ``"stdout"`` for
+        standard output without ever blocking on it.
     :raises OSError: if the file cannot be opened.
     """
-    stream = sys.stderr if path == "-" else open(path, "a", buffering=1)
+    if path == "stdout":
+        stream: LineStream = Outlet(sys.stdout.fileno())
+    else:
+        stream = sys.stderr if path == "-" else open(path, "a", buffering=1)
     eliot.to_file(stream)
     return stream
--- /dev/null
+++ b/ragwortferry/mesh/entry.py
@@ -0,0 +1,421 @@
+"""The entry side: takes the requests of an instance and finds an upstream for each."""
+
+__all__ = ["Entry"]
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from ragwortferry.exceptions import ANSWERS, ErrorKind, Outcome
+from ragwortferry.http1.messages import Request, end_to_end, find
+from ragwortferry.http1.server import Exchange, Server
+from ragwortferry.mesh.attempt import Attempt, Failure, Reply
+from ragwortferry.mesh.budget import RetryBudget
+from ragwortferry.mesh.frames import Load
+from ragwortferry.mesh.knowledge import Knowledge
+from ragwortferry.mesh.model import Document, Limits, Route, Upstream
+from ragwortferry.mesh.owner import Owner, Run
+from ragwortferry.mesh.peers import Peers
+from ragwortferry.mesh.placing import Placer
+from ragwortferry.mesh.recording import Recorder
+from ragwortferry.platform.boot import Bounds
+from ragwortferry.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
+from ragwortferry.utils.sockets import Address
+
+# Bytes of an answer up to which it is held until it is whole, so that an answer that
+# breaks off can still be replaced by that of another upstream.
+HOLD_BYTES = 2**20
+# Refusals by owners after which a request is not offered to further ones.
+MAX_MOVES = 4
+# Time that the node keeps for its own answer before the deadline, in seconds.
+ANSWER_MARGIN_S = 0.005
+# Seconds that a caller is told to stay away if nothing better is known.
+RETRY_AFTER_S = 0.1
+# Shortest time in which another attempt can succeed, as a share of the usual one.
+LEAST_SHARE = 0.8
+# Seconds for which an upstream is avoided after its owner could not be reached.
+BAR_S = 1.0
+SERVER_ERROR = 500
+HIGHEST_DEADLINE_S = 3600.0
+
+# Failures that say nothing against the upstream's instance.
+_FREE = (ErrorKind.OVERLOADED, ErrorKind.EXPIRED)
+
+
+@dataclass(slots=True, eq=False)
+class Course:
+    """The course of one request.
+
+    :param offered: arrivals at upstreams so far.
+    :param moves: refusals by owners so far.
+    """
+
+    request: Request
+    request_id: str
+    document: Document
+    route: Route
+    service: str
+    deadline: float
+    tried: list[str] = field(default_factory=list)
+    attempts: list[dict] = field(default_factory=list)
+    offered: int = 0
+    moves: int = 0
+    unsure: bool = False
+    failure: Failure | None = None
+
+
+class Entry:
+    """Serves the callers of this instance.
+
+    :param service: service of the instance, told to upstreams as the caller's.
+    :param prefix: first part of the key of each attempt.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        placer: Placer,
+        owner: Owner,
+        peers: Peers,
+        recorder: Recorder,
+        address: Address,
+        service: str,
+        prefix: str,
+        bounds: Bounds,
+        rng: random.Random,
+        nodes,
+    ):
+        self._knowledge = knowledge
+        self._placer = placer
+        self._owner = owner
+        self._peers = peers
+        self._recorder = recorder
+        self._address = address
+        self._service = service
+        self._prefix = prefix
+        self._bounds = bounds
+        self._rng = rng
+        self._nodes = nodes
+        self._numbers = itertools.count(1)
+        self._budgets: dict[str, RetryBudget] = {}
+        self._shares: dict[tuple[str, str], list[float]] = {}
+        self._server = Server(self._handle, address.host, address.port)
+        self._hosts: dict[str, list[str]] = {}
+        self.in_flight = 0
+        knowledge.on_document.append(lambda document: self._limit(document.limits))
+        knowledge.on_registry.append(
+            lambda change: placer.forget(change.removed.keys())
+        )
+        peers.on_load = self._loaded
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Close the port and the connections."""
+        await self._server.stop()
+
+    def leave(self) -> None:
+        """Ask callers to open no more requests on their connections."""
+        self._server.closing = True
+
+    def _limit(self, limits: Limits) -> None:
+        own = self._server.limits
+        own.header_bytes = limits.header_bytes
+        own.body_bytes = limits.body_bytes
+        own.header_timeout_s = limits.header_timeout_s
+        own.idle_timeout_s = limits.idle_timeout_s
+
+    def _loaded(self, host: str, load: Load) -> None:
+        now = asyncio.get_running_loop().time()
+        for item in self._knowledge.upstreams.values():
+            if item.address.host == host:
+                self._placer.reported(item, load, now)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        """Answer one request, whatever happens."""
+        self.in_flight += 1
+        try:
+            await self._serve(exchange)
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            self._recorder.broken(exchange.request, error)
+            if exchange.started:
+                exchange.abort()
+            else:
+                exchange.respond(ANSWERS[ErrorKind.INTERNAL].status, [])
+        finally:
+            self.in_flight -= 1
+
+    async def _serve(self, exchange: Exchange) -> None:
+        request = exchange.request
+        request_id = find(request.headers, REQUEST_ID_HEADER)
+        document = self._knowledge.document
+        if document is None or not self._knowledge.ready:
+            self._reject(exchange, request_id, ErrorKind.NO_CONFIGURATION)
+            return
+        if not request.target.startswith("/"):
+            self._reject(exchange, request_id, ErrorKind.BAD_REQUEST)
+            return
+        host = find(request.headers, "host").partition(":")[0].lower()
+        route = document.match(host, request.path)
+        if route is None:
+            self._reject(exchange, request_id, ErrorKind.NO_ROUTE)
+            return
+        left = _deadline_s(request, route.timeout_s)
+        course = Course(
+            request,
+            request_id,
+            document,
+            route,
+            self._choose_service(route),
+            request.arrived + min(left, route.timeout_s) - ANSWER_MARGIN_S,
+        )
+        self._budget(course.service).note_request(asyncio.get_running_loop().time())
+        await self._run(exchange, course)
+
+    def _choose_service(self, route: Route) -> str:
+        """Return a destination, so that each gets its share of the route's requests.
+
+        Each request adds its weight to every part; the part that is owed most is
+        chosen and pays for it. Shares start at a random point of the cycle, so that
+        nodes with few requests do not all begin with the same part.
+        """
+        parts = route.destinations
+        if len(parts) == 1:
+            return parts[0].service
+        total = sum(part.weight for part in parts) or 1.0
+        key = (route.host, route.name)
+        owed = self._shares.get(key)
+        if owed is None or len(owed) != len(parts):
+            owed = [self._rng.uniform(0, part.weight / total) for part in parts]
+            self._shares[key] = owed
+        for number, part in enumerate(parts):
+            owed[number] += part.weight / total
+        chosen = max(range(len(parts)), key=owed.__getitem__)
+        owed[chosen] -= 1.0
+        return parts[chosen].service
+
+    async def _run(self, exchange: Exchange, course: Course) -> None:
+        """Try upstreams until one answers or no further try is allowed."""
+        loop = asyncio.get_running_loop()
+        while True:
+            upstream = self._pick(course, loop.time())
+            if upstream is None:
+                self._give_up(exchange, course)
+                return
+            reply = await self._attempt(exchange, course, upstream)
+            if reply is None:
+                return
+            if not self._may_go_on(course, reply):
+                self._finish(exchange, course, reply)
+                return
+
+    def _pick(self, course: Course, now: float) -> Upstream | None:
+        if course.deadline <= now:
+            return None
+        known = self._knowledge.of_service(course.service)
+        return self._placer.pick(known, course.tried, course.route.objective_s, now)
+
+    async def _attempt(
+        self, exchange: Exchange, course: Course, upstream: Upstream
+    ) -> Reply | None:
+        """Make one try; ``None`` if its answer was passed on as it came."""
+        loop = asyncio.get_running_loop()
+        placer = self._placer
+        reply = Reply(lambda load: placer.reported(upstream, load, loop.time()))
+        attempt = self._new_attempt(course, upstream)
+        note = {"key": attempt.key, "upstream": upstream.id}
+        course.attempts.append(note)
+        course.tried.append(upstream.id)
+        started = loop.time()
+        placer.sent(upstream, started)
+        run: Run | None = None
+        local = upstream.address.host == self._address.host
+        try:
+            async with asyncio.timeout_at(course.deadline):
+                if local:
+                    run = self._owner.submit(attempt, reply)
+                else:
+                    await self._peers.send(attempt, reply)
+                await reply.wait(HOLD_BYTES)
+        except TimeoutError:
+            self._withdraw(attempt, run)
+            failure = Failure(ErrorKind.DEADLINE, Outcome.UNKNOWN, "too late", 0, True)
+            reply.on_reply_failed(failure, None)
+        except asyncio.CancelledError:
+            self._withdraw(attempt, run)
+            note["outcome"] = str(Outcome.UNKNOWN)
+            self._recorder.request(course, 0, "caller-gone", Outcome.UNKNOWN, False)
+            raise
+        finally:
+            placer.ended(upstream, loop.time())
+            note["ms"] = round((loop.time() - started) * 1000, 1)
+        self._judge(course, upstream, reply, note)
+        if reply.settled:
+            return reply
+        await self._stream(exchange, course, reply, attempt, run)
+        return None
+
+    def _new_attempt(self, course: Course, upstream: Upstream) -> Attempt:
+        request, route = course.request, course.route
+        return Attempt(
+            key=f"{self._prefix}-{next(self._numbers)}",
+            request_id=course.request_id,
+            upstream=upstream.id,
+            host=upstream.address.host,
+            deadline=course.deadline,
+            objective=request.arrived + route.objective_s,
+            priority=route.priority,
+            repeatable=route.repeatable,
+            route=route.name,
+            version=course.document.version,
+            caller=self._service,
+            method=request.method,
+            target=request.target,
+            headers=end_to_end(request.headers),
+            body=request.body,
+        )
+
+    def _withdraw(self, attempt: Attempt, run: Run | None) -> None:
+        if run is not None:
+            self._owner.cancel(run)
+        else:
+            self._peers.cancel(attempt)
+
+    def _judge(
+        self, course: Course, upstream: Upstream, reply: Reply, note: dict
+    ) -> None:
+        """Note what an attempt says about the request and about the upstream."""
+        now = asyncio.get_running_loop().time()
+        failure = reply.failure
+        if failure is None:
+            course.offered += 1
+            note["outcome"], note["status"] = str(Outcome.RAN), reply.status
+            if reply.status >= SERVER_ERROR:
+                self._placer.failed(upstream, now)
+            return
+        note["outcome"], note["kind"] = str(failure.outcome), str(failure.kind)
+        note["detail"] = failure.detail
+        course.failure = failure
+        course.offered += failure.offered
+        course.moves += not failure.offered
+        course.unsure |= failure.outcome is not Outcome.NOT_RUN
+        if failure.kind not in _FREE:
+            unreachable = failure.kind in (ErrorKind.CONNECT_FAILED, ErrorKind.LEAVING)
+            self._placer.failed(upstream, now, BAR_S if unreachable else 0.0)
+
+    def _may_go_on(self, course: Course, reply: Reply) -> bool:
+        """Return whether another try can neither double the request nor the load."""
+        now = asyncio.get_running_loop().time()
+        failure, route = reply.failure, course.route
+        if course.deadline <= now:
+            return False
+        if failure is None:
+            if reply.status < SERVER_ERROR or not route.repeatable:
+                return False
+        elif failure.outcome is not Outcome.NOT_RUN and not route.repeatable:
+            return False
+        elif not failure.offered:
+            return course.moves <= MAX_MOVES
+        if course.offered >= route.max_attempts:
+            return False
+        upstream = self._pick(course, now)
+        if upstream is None:
+            return False
+        wait, service = self._placer.expected(upstream, now)
+        if course.deadline - now < wait + LEAST_SHARE * service:
+            return False
+        return self._budget(course.service).take(now)
+
+    def _budget(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            bounds = self._bounds
+            self._budgets[service] = RetryBudget(
+                bounds.retry_budget_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_s,
+                self._nodes,
+            )
+        return self._budgets[service]
+
+    def _finish(self, exchange: Exchange, course: Course, reply: Reply) -> None:
+        """Pass the upstream's answer on, or answer for it."""
+        if reply.failure is not None:
+            self._give_up(exchange, course)
+            return
+        exchange.respond(reply.status, reply.headers, reply.take())
+        self._recorder.request(course, reply.status, "", Outcome.RAN, True)
+
+    def _give_up(self, exchange: Exchange, course: Course) -> None:
+        """Give the node's own final answer."""
+        failure = course.failure
+        if course.unsure:
+            kind = failure.kind
+            if ANSWERS[kind].outcome is Outcome.NOT_RUN:
+                kind = ErrorKind.UPSTREAM_LOST
+            self._refuse(exchange, course.request_id, kind, 0.0)
+            outcome = Outcome.UNKNOWN
+        else:
+            kind = failure.kind if failure else ErrorKind.NO_UPSTREAM
+            after = failure.retry_after_s if failure else 0.0
+            self._refuse(exchange, course.request_id, kind, after or RETRY_AFTER_S)
+            outcome = Outcome.NOT_RUN
+        status = ANSWERS[kind].status
+        self._recorder.request(course, status, str(kind), outcome, True)
+
+    def _refuse(
+        self, exchange: Exchange, request_id: str, kind: ErrorKind, after_s: float
+    ) -> None:
+        headers = [(REQUEST_ID_HEADER, request_id)] if request_id else []
+        if after_s:
+            headers.append(("Retry-After", f"{after_s:.3f}"))
+        exchange.respond(ANSWERS[kind].status, headers)
+
+    def _reject(self, exchange: Exchange, request_id: str, kind: ErrorKind) -> None:
+        """Answer a request that no route governs."""
+        after = RETRY_AFTER_S if kind is ErrorKind.NO_CONFIGURATION else 0.0
+        self._refuse(exchange, request_id, kind, after)
+        self._recorder.rejected(
+            exchange.request, request_id, kind, self._knowledge.version
+        )
+
+    async def _stream(
+        self,
+        exchange: Exchange,
+        course: Course,
+        reply: Reply,
+        attempt: Attempt,
+        run: Run | None,
+    ) -> None:
+        """Pass a long answer on as it comes."""
+        exchange.start(reply.status, reply.headers, reply.length)
+        try:
+            while True:
+                exchange.write(reply.take())
+                if reply.settled:
+                    break
+                await exchange.drained()
+                await reply.wait(reply.size + 1)
+        except asyncio.CancelledError:
+            self._withdraw(attempt, run)
+            raise
+        if reply.failure is not None:
+            exchange.abort()
+        else:
+            exchange.finish()
+        error = str(reply.failure.kind) if reply.failure else ""
+        whole = reply.failure is None
+        self._recorder.request(course, reply.status, error, Outcome.RAN, whole)
+
+
+def _deadline_s(request: Request, default: float) -> float:
+    """Return the seconds that the caller waits."""
+    text = find(request.headers, DEADLINE_HEADER)
+    try:
+        return min(HIGHEST_DEADLINE_S, max(0.0, float(text) / 1000))
+    except ValueError:
+        return default
--- /dev/null
+++ b/ragwortferry/mesh/knowledge.py
@@ -0,0 +1,193 @@
+"""The state of a node: the document in force and the registry of upstreams.
+
+Both only move forward. A version is taken if it is higher than the one in force. An
+entry of the registry is taken if its revision is higher than that of the entry, or of
+the removal, that is known. So changes may come twice, late and in any order.
+"""
+
+__all__ = ["Knowledge", "RegistryChange"]
+
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from expression import Result
+
+from ragwortferry.logs import Log
+from ragwortferry.mesh.model import Document, Upstream
+
+# Fastest level: a node compresses a version once, its peers only decompress it.
+COMPRESSION_LEVEL = 1
+# Removals that are remembered; more than can be in flight between two nodes.
+MAX_REMOVALS = 4_096
+
+Decoder = Callable[[bytes], Result[Document, str]]
+
+
+@dataclass(slots=True)
+class RegistryChange:
+    """Changes of the registry, or the whole of it.
+
+    :param since: revision that the changes follow on, 0 for the whole registry.
+    :param revision: revision after the changes.
+    :param removed: revision of each removal, by id.
+    """
+
+    since: int
+    revision: int
+    upstreams: list[Upstream] = field(default_factory=list)
+    removed: dict[str, int] = field(default_factory=dict)
+
+
+class Knowledge:
+    """What the node knows, with callbacks for those who act on changes.
+
+    :param decode: turns an accepted configuration into a document.
+    """
+
+    def __init__(self, decode: Decoder, log: Log):
+        self._decode = decode
+        self._log = log
+        self._upstreams: dict[str, Upstream] = {}
+        self._removed: dict[str, int] = {}
+        self._services: dict[str, list[Upstream]] | None = None
+        self._packed = b""
+        self._refused: set[int] = set()
+        self.document: Document | None = None
+        self.revision = 0
+        self.on_document: list[Callable[[Document], None]] = []
+        self.on_registry: list[Callable[[RegistryChange], None]] = []
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return self.document.version if self.document else 0
+
+    @property
+    def packed(self) -> bytes:
+        """Return the compressed form of the configuration in force."""
+        return self._packed
+
+    @property
+    def upstreams(self) -> dict[str, Upstream]:
+        """Return all known upstreams by id."""
+        return self._upstreams
+
+    @property
+    def ready(self) -> bool:
+        """Return whether requests can be routed."""
+        return self.document is not None and self.revision > 0
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that are not draining."""
+        if self._services is None:
+            self._services = {}
+            for item in self._upstreams.values():
+                if not item.draining:
+                    self._services.setdefault(item.service, []).append(item)
+        return self._services.get(service, [])
+
+    def at(self, host: str, port: int) -> Upstream | None:
+        """Return the newest upstream that is registered under an address."""
+        found = [
+            item
+            for item in self._upstreams.values()
+            if item.address.host == host and item.address.port == port
+        ]
+        return max(found, key=lambda item: item.revision, default=None)
+
+    def learn_packed(self, data: bytes, origin: str) -> bool:
+        """Take in a compressed configuration from a peer."""
+        try:
+            raw = zlib.decompress(data)
+        except zlib.error as error:
+            self._log.error("configuration cannot be unpacked", error, origin=origin)
+            return False
+        return self.learn_document(raw, origin, data)
+
+    def learn_document(self, raw: bytes, origin: str, packed: bytes = b"") -> bool:
+        """Put a version in force if it is valid and higher than the present one."""
+        result = self._decode(raw)
+        if result.is_error():
+            reason = result.swap().ok
+            self._log.event("refused", "configuration is invalid", reason=reason)
+            return False
+        document = result.ok
+        if document.version <= self.version:
+            return False
+        self._packed = packed or zlib.compress(raw, COMPRESSION_LEVEL)
+        before, self.document = self.version, document
+        self._log.event(
+            "enforced",
+            "version is in force",
+            version=document.version,
+            digest=document.digest,
+            before=before,
+            origin=origin,
+        )
+        for callback in self.on_document:
+            callback(document)
+        return True
+
+    def learn_registry(self, change: RegistryChange, origin: str) -> bool:
+        """Apply changes of the registry.
+
+        :return: whether they follow on what is known; if not, the whole is needed.
+        """
+        complete = change.since <= self.revision
+        applied = RegistryChange(self.revision, self.revision)
+        removals = dict(change.removed)
+        if change.since == 0:
+            listed = {item.id for item in change.upstreams}
+            for item in self._upstreams.values():
+                if item.id not in listed and item.revision <= change.revision:
+                    removals.setdefault(item.id, change.revision)
+        for item in change.upstreams:
+            if self._is_news(item):
+                self._upstreams[item.id] = item
+                applied.upstreams.append(item)
+        for name, revision in removals.items():
+            self._remove(name, revision, applied)
+        if complete and change.revision > self.revision:
+            self.revision = change.revision
+        applied.revision = self.revision
+        if applied.upstreams or applied.removed:
+            self._services = None
+            self._tell(applied, origin)
+        return complete
+
+    def whole_registry(self) -> RegistryChange:
+        """Return all that is known as one change."""
+        return RegistryChange(0, self.revision, list(self._upstreams.values()))
+
+    def _is_news(self, item: Upstream) -> bool:
+        known = self._upstreams.get(item.id)
+        if known is not None and known.revision >= item.revision:
+            return False
+        return item.revision > self._removed.get(item.id, -1)
+
+    def _remove(self, name: str, revision: int, applied: RegistryChange) -> None:
+        known = self._upstreams.get(name)
+        if known is not None and known.revision > revision:
+            return
+        if self._removed.get(name, -1) >= revision:
+            return
+        self._removed[name] = revision
+        while len(self._removed) > MAX_REMOVALS:
+            del self._removed[next(iter(self._removed))]
+        if known is not None:
+            del self._upstreams[name]
+        applied.removed[name] = revision
+
+    def _tell(self, applied: RegistryChange, origin: str) -> None:
+        self._log.event(
+            "registry",
+            "registry changed",
+            revision=self.revision,
+            draining=[item.id for item in applied.upstreams if item.draining],
+            serving=[item.id for item in applied.upstreams if not item.draining],
+            removed=list(applied.removed),
+            origin=origin,
+        )
+        for callback in self.on_registry:
+            callback(applied)
--- /dev/null
+++ b/ragwortferry/mesh/link.py
@@ -0,0 +1,124 @@
+"""One connection between two nodes: messages with a length before each."""
+
+__all__ = ["Link", "LinkHandler"]
+
+import asyncio
+from typing import Protocol
+
+import msgspec
+
+from ragwortferry.mesh.frames import Frame, decode_frame, encode_frame
+
+LENGTH_BYTES = 4
+# Longest message: a compressed configuration or request body fits.
+MAX_FRAME_BYTES = 80 * 2**20
+
+
+class LinkHandler(Protocol):
+    """Receives what happens on a link."""
+
+    def link_made(self, link: "Link") -> None:
+        """Note a new connection."""
+
+    def link_frame(self, link: "Link", frame: Frame) -> None:
+        """Receive a message."""
+
+    def link_lost(self, link: "Link", reason: str) -> None:
+        """Note the end of the connection."""
+
+
+class Link(asyncio.Protocol):
+    """A stream of messages.
+
+    :param handler: receives the messages.
+    :param dialed: whether this node opened the connection.
+    :param host: IP number of the peer, known later on an accepted connection.
+    """
+
+    def __init__(self, handler: LinkHandler, dialed: bool, host: str = ""):
+        self._handler = handler
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._reason = ""
+        self._loop = asyncio.get_running_loop()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self.dialed = dialed
+        self.host = host
+        self.zone = ""
+        self.relays = False
+        self.peer_version = 0
+        self.peer_revision = 0
+        self.peer_store_served = True
+        self.heard_at = self._loop.time()
+        self.closed = False
+
+    @property
+    def congested(self) -> bool:
+        """Return whether much that was sent has not left yet."""
+        return not self._writable.is_set()
+
+    async def drained(self) -> None:
+        """Wait until the peer has taken most of what was sent."""
+        await self._writable.wait()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Take the connection in."""
+        self._transport = transport
+        self._handler.link_made(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end once."""
+        self._lost(str(exc or "closed by the peer"))
+
+    def pause_writing(self) -> None:
+        """Note that the peer is slower than what is sent."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Note that the peer has caught up."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Cut the stream into messages."""
+        self.heard_at = self._loop.time()
+        self._buffer += data
+        buffer, start = self._buffer, 0
+        while len(buffer) - start >= LENGTH_BYTES and not self.closed:
+            size = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
+            if size > MAX_FRAME_BYTES:
+                self.close(f"message of {size} bytes")
+                return
+            end = start + LENGTH_BYTES + size
+            if len(buffer) < end:
+                break
+            self._receive(bytes(buffer[start + LENGTH_BYTES : end]))
+            start = end
+        del buffer[:start]
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            frame = decode_frame(data)
+        except msgspec.DecodeError as error:
+            self.close(f"unusable message: {error}")
+            return
+        self._handler.link_frame(self, frame)
+
+    def send(self, frame: Frame) -> None:
+        """Send a message if the connection is open."""
+        if not self.closed and self._transport:
+            data = encode_frame(frame)
+            self._transport.write(len(data).to_bytes(LENGTH_BYTES, "big") + data)
+
+    def close(self, reason: str) -> None:
+        """End the connection at once."""
+        if self._transport:
+            self._transport.abort()
+        self._lost(reason)
+
+    def _lost(self, reason: str) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self._writable.set()
+        self._handler.link_lost(self, reason)
--- /dev/null
+++ b/ragwortferry/mesh/metrics.py
@@ -0,0 +1,78 @@
+"""Counters and latency histograms of a node, by OpenTelemetry, served as text."""
+
+__all__ = ["NodeMetrics"]
+
+from collections.abc import Callable, Iterable
+
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+from opentelemetry.sdk.resources import Resource
+
+# Upper bounds of the latency buckets in milliseconds; objectives lie between 80 and
+# 1,500 ms.
+BOUNDS_MS = (2, 5, 10, 25, 50, 80, 120, 200, 300, 400, 600, 800, 1200, 2000, 4000)
+PREFIX = "ragwortferry_"
+
+
+class NodeMetrics:
+    """The instruments of one node.
+
+    :param instance: name of the instance.
+    :param zone: availability zone.
+    """
+
+    def __init__(self, instance: str, zone: str):
+        self._reader = InMemoryMetricReader()
+        resource = Resource({"instance": instance, "zone": zone})
+        provider = MeterProvider([self._reader], resource, shutdown_on_exit=False)
+        self._meter = provider.get_meter("ragwortferry")
+        self._requests = self._meter.create_counter(f"{PREFIX}requests")
+        self._latency = self._meter.create_histogram(
+            f"{PREFIX}request_ms", explicit_bucket_boundaries_advisory=BOUNDS_MS
+        )
+
+    def request(self, route: str, status: int, error: str, seconds: float) -> None:
+        """Count a request and its latency."""
+        self._requests.add(1, {"status": status, "error": error})
+        self._latency.record(seconds * 1000, {"route": route})
+
+    def observe(self, name: str, read: Callable[[], float]) -> None:
+        """Serve a value that is read whenever the metrics are asked for."""
+
+        def values(_options) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(PREFIX + name, [values])
+
+    def text(self) -> str:
+        """Return all values, one a line, in the text form of metrics."""
+        data = self._reader.get_metrics_data()
+        lines: list[str] = []
+        for resource in data.resource_metrics if data else ():
+            for scope in resource.scope_metrics:
+                for metric in scope.metrics:
+                    for point in metric.data.data_points:
+                        lines += _lines(metric.name, point)
+        return "\n".join(lines) + "\n"
+
+
+def _lines(name: str, point) -> list[str]:
+    labels = {key: str(value) for key, value in point.attributes.items()}
+    if not hasattr(point, "bucket_counts"):
+        return [f"{name}{_labels(labels)} {point.value}"]
+    lines, total = [], 0
+    bounds = [*point.explicit_bounds, "+Inf"]
+    for bound, count in zip(bounds, point.bucket_counts, strict=True):
+        total += count
+        lines.append(f"{name}_bucket{_labels({**labels, 'le': str(bound)})} {total}")
+    lines.append(f"{name}_sum{_labels(labels)} {point.sum}")
+    lines.append(f"{name}_count{_labels(labels)} {point.count}")
+    return lines
+
+
+def _labels(labels: dict[str, str]) -> str:
+    if not labels:
+        return ""
+    inner = ",".join(f'{key}="{value}"' for key, value in labels.items())
+    return "{" + inner + "}"
--- /dev/null
+++ b/ragwortferry/mesh/peers.py
@@ -0,0 +1,467 @@
+"""Links to other nodes: who is dialed, who is alive, and attempts on the way."""
+
+__all__ = ["Peers"]
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ragwortferry.exceptions import ErrorKind, Outcome
+from ragwortferry.kernel import Kernel
+from ragwortferry.logs import Log
+from ragwortferry.mesh.attempt import Attempt, Failure, Reply
+from ragwortferry.mesh.frames import (
+    Cancel,
+    Data,
+    End,
+    Failed,
+    Frame,
+    Head,
+    Hello,
+    Load,
+    Ping,
+    Pong,
+    Submit,
+)
+from ragwortferry.mesh.knowledge import Knowledge
+from ragwortferry.mesh.link import Link
+from ragwortferry.mesh.owner import Owner, Run
+from ragwortferry.mesh.relay import Relay
+from ragwortferry.utils.pacing import Backoff
+from ragwortferry.utils.sockets import Address, connected_socket, listen
+
+BACKLOG = 512
+# Seconds between signs of life on a link that carries nothing.
+IDLE_PING_S = 1.0
+# Seconds between them while attempts wait for an answer.
+BUSY_PING_S = 0.15
+# Seconds of silence after which a link with waiting attempts is given up; below any
+# route's timeout, so that a repeatable request can still be served elsewhere.
+BUSY_SILENCE_S = 0.6
+# Seconds of silence after which an idle link is given up.
+IDLE_SILENCE_S = 3.0
+# Period of the check of all links, in seconds.
+CHECK_S = 0.05
+# Seconds until a link must be established.
+DIAL_TIMEOUT_S = 1.0
+# Seconds that an attempt waits for a link that is being established.
+LINK_WAIT_S = 0.3
+# Bounds of the jittered pause between two tries to reach a peer, in seconds.
+FIRST_REDIAL_S, MOST_REDIAL_S = 0.05, 1.0
+# Seconds by which a late check is not held against the peers.
+LATE_CHECK_S = 0.2
+NEVER = float("inf")
+# Nodes of the own zone up to which all are dialed ahead of requests.
+MAX_EAGER = 40
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """An attempt that was sent to its owner."""
+
+    attempt: Attempt
+    reply: Reply
+
+
+class _Peer:
+    """One other node, as seen from the side that dials it."""
+
+    def __init__(self, address: Address):
+        self.address = address
+        self.link: Link | None = None
+        self.waiting: dict[int, Waiting] = {}
+        self.pinged_at = 0.0
+        # Time of the first sign of life that was asked for in vain.
+        self.asked_at = NEVER
+        self.task: asyncio.Task | None = None
+        self.linked = asyncio.Event()
+        self.wanted = True
+
+
+class _RemoteSink:
+    """Sends the answer of the own upstream back over a link."""
+
+    def __init__(self, link: Link, key: int, done: Callable[[int], None]):
+        self._link = link
+        self._key = key
+        self._done = done
+
+    def on_reply_head(self, status, headers, length) -> None:
+        """Send the head."""
+        self._link.send(Head(self._key, status, headers, length))
+
+    def on_reply_data(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._link.send(Data(self._key, data))
+
+    def on_reply_end(self, load: Load | None) -> None:
+        """Send the end."""
+        self._done(self._key)
+        self._link.send(End(self._key, load))
+
+    def on_reply_failed(self, failure: Failure, load: Load | None) -> None:
+        """Send the reason."""
+        self._done(self._key)
+        self._link.send(
+            Failed(
+                self._key,
+                str(failure.kind),
+                str(failure.outcome),
+                failure.detail,
+                failure.retry_after_s,
+                failure.offered,
+                load,
+            )
+        )
+
+
+class Peers:
+    """Keeps links to the nodes of the registry's upstreams.
+
+    :param address: where this node accepts links; all nodes use the same port.
+    :param incarnation: name of this run of the process.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        knowledge: Knowledge,
+        owner: Owner,
+        relay: Relay,
+        address: Address,
+        zone: str,
+        incarnation: str,
+        log: Log,
+        rng: random.Random,
+    ):
+        self._kernel = kernel
+        self._knowledge = knowledge
+        self._owner = owner
+        self._relay = relay
+        self._address = address
+        self._zone = zone
+        self._incarnation = incarnation
+        self._log = log
+        self._rng = rng
+        self._peers: dict[str, _Peer] = {}
+        self._accepted: dict[Link, dict[int, Run]] = {}
+        self._listener: asyncio.Server | None = None
+        self._tokens = 0
+        self.on_load: Callable[[str, Load], None] = lambda host, load: None
+        relay.links = lambda: self.links
+        knowledge.on_registry.insert(0, lambda change: self._choose())
+
+    @property
+    def links(self) -> list[Link]:
+        """Return all open links."""
+        dialed = [peer.link for peer in self._peers.values() if peer.link]
+        return [*dialed, *self._accepted]
+
+    @property
+    def linked_hosts(self) -> int:
+        """Return the number of peers that this node has dialed with success."""
+        return sum(peer.link is not None for peer in self._peers.values())
+
+    async def start(self) -> None:
+        """Accept links and look after them."""
+        loop = asyncio.get_running_loop()
+        sock = listen(self._address.host, self._address.port, BACKLOG)
+        self._listener = await loop.create_server(lambda: Link(self, False), sock=sock)
+        self._kernel.spawn(self._check(), "links")
+
+    async def stop(self) -> None:
+        """Close all links."""
+        if self._listener:
+            self._listener.close()
+        for peer in self._peers.values():
+            peer.wanted = False
+            if peer.task:
+                peer.task.cancel()
+        for link in self.links:
+            link.close("stopping")
+
+    def linked(self, host: str) -> bool:
+        """Return whether a link to an instance is open."""
+        peer = self._peers.get(host)
+        return peer is not None and peer.link is not None
+
+    async def send(self, attempt: Attempt, reply: Reply) -> None:
+        """Send an attempt to the owner of its upstream."""
+        peer = self._peer(attempt.host)
+        if peer.link is None:
+            left = attempt.deadline - asyncio.get_running_loop().time()
+            try:
+                async with asyncio.timeout(min(LINK_WAIT_S, max(0.0, left))):
+                    await peer.linked.wait()
+            except TimeoutError:
+                pass
+        if peer.link is None:
+            detail = f"no link to {peer.address.host}"
+            failure = Failure(ErrorKind.CONNECT_FAILED, Outcome.NOT_RUN, detail)
+            reply.on_reply_failed(failure, None)
+            return
+        peer.waiting[attempt.key] = Waiting(attempt, reply)
+        peer.link.send(_submit(attempt))
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Withdraw an attempt from its owner."""
+        peer = self._peers.get(attempt.host)
+        if peer is None or peer.waiting.pop(attempt.key, None) is None:
+            return
+        if peer.link is not None:
+            peer.link.send(Cancel(attempt.key))
+
+    def tell_load(self) -> None:
+        """Tell all peers at once what the own upstream takes."""
+        for link in self._accepted:
+            link.send(self._pong(0))
+
+    def drop_all(self, reason: str) -> None:
+        """Close all links, for a process that does not know how long it stood still."""
+        for link in self.links:
+            link.close(reason)
+
+    def _peer(self, host: str) -> _Peer:
+        peer = self._peers.get(host)
+        if peer is None:
+            peer = self._peers[host] = _Peer(Address(host, self._address.port))
+        if peer.task is None or peer.task.done():
+            peer.wanted = True
+            peer.task = self._kernel.spawn(self._keep(peer), f"dial {host}")
+        return peer
+
+    def _choose(self) -> None:
+        """Dial the nodes that are needed, let go of those that are gone."""
+        hosts: dict[str, str] = {}
+        for item in self._knowledge.upstreams.values():
+            hosts[item.address.host] = item.zone
+        hosts.pop(self._address.host, None)
+        self._relay.set_hosts(hosts)
+        near = [host for host, zone in hosts.items() if zone == self._zone]
+        eager = set(hosts) if len(hosts) <= MAX_EAGER else set(near[:MAX_EAGER])
+        for host in eager | (self._relay.neighbours & set(hosts)):
+            self._peer(host)
+        for host, peer in self._peers.items():
+            peer.wanted = host in hosts
+
+    async def _keep(self, peer: _Peer) -> None:
+        """Keep a link to a peer for as long as it is wanted."""
+        backoff = Backoff(FIRST_REDIAL_S, MOST_REDIAL_S, self._rng)
+        loop = asyncio.get_running_loop()
+        while peer.wanted:
+            try:
+                async with asyncio.timeout(DIAL_TIMEOUT_S):
+                    sock = await connected_socket(peer.address, self._address.host)
+                    _, link = await loop.create_connection(
+                        lambda: Link(self, True, peer.address.host), sock=sock
+                    )
+            except (OSError, TimeoutError):
+                await asyncio.sleep(backoff.next_delay())
+                continue
+            if link.closed:
+                await asyncio.sleep(backoff.next_delay())
+                continue
+            peer.link, peer.asked_at = link, NEVER
+            peer.linked.set()
+            backoff.reset()
+            while not link.closed and peer.wanted:
+                await asyncio.sleep(CHECK_S)
+            if not peer.waiting and not link.closed:
+                link.close("not needed any more")
+            while not link.closed:
+                await asyncio.sleep(CHECK_S)
+        if not peer.waiting and self._peers.get(peer.address.host) is peer:
+            del self._peers[peer.address.host]
+
+    def link_made(self, link: Link) -> None:
+        """Greet the peer."""
+        knowledge = self._knowledge
+        if not link.dialed:
+            self._accepted[link] = {}
+        link.send(
+            Hello(
+                self._address.host,
+                self._zone,
+                self._incarnation,
+                link.dialed and link.host in self._relay.neighbours,
+                knowledge.version,
+                knowledge.revision,
+            )
+        )
+
+    def link_lost(self, link: Link, reason: str) -> None:
+        """End what depended on the link."""
+        self._relay.forget(link)
+        for run in self._accepted.pop(link, {}).values():
+            self._owner.cancel(run)
+        peer = self._peers.get(link.host)
+        if peer is None or peer.link is not link:
+            return
+        peer.link = None
+        peer.linked.clear()
+        self._log.event("link-lost", "link is lost", peer=link.host, reason=reason)
+        waiting, peer.waiting = peer.waiting, {}
+        for item in waiting.values():
+            detail = f"link to {link.host} lost: {reason}"
+            failure = Failure(
+                ErrorKind.UPSTREAM_LOST, Outcome.UNKNOWN, detail, 0.0, True
+            )
+            item.reply.on_reply_failed(failure, None)
+
+    def link_frame(self, link: Link, frame: Frame) -> None:
+        """Act on a message."""
+        match frame:
+            case Head():
+                if item := self._waiting(link, frame.key):
+                    item.reply.on_reply_head(frame.status, frame.headers, frame.length)
+            case Data():
+                if item := self._waiting(link, frame.key):
+                    item.reply.on_reply_data(frame.data)
+            case End():
+                if item := self._waiting(link, frame.key, last=True):
+                    item.reply.on_reply_end(frame.load)
+            case Failed():
+                if item := self._waiting(link, frame.key, last=True):
+                    item.reply.on_reply_failed(_failure(frame), frame.load)
+            case Submit():
+                self._submitted(link, frame)
+            case Cancel():
+                if run := self._accepted.get(link, {}).pop(frame.key, None):
+                    self._owner.cancel(run)
+            case Hello():
+                link.host, link.zone = frame.host, frame.zone
+                link.relays = frame.relays
+                self._relay.greeted(link, frame.version, frame.revision)
+            case Ping():
+                self._relay.heard(link, frame.version, frame.revision)
+                link.peer_store_served = frame.store_served
+                link.send(self._pong(frame.token))
+            case Pong():
+                self._relay.heard(link, frame.version, frame.revision)
+                link.peer_store_served = frame.store_served
+                self.on_load(link.host, frame.load)
+            case _:
+                self._relay.frame(link, frame)
+
+    def _pong(self, token: int) -> Pong:
+        knowledge = self._knowledge
+        return Pong(
+            token,
+            knowledge.version,
+            knowledge.revision,
+            self._relay.store_served,
+            self._owner.load(),
+        )
+
+    def _waiting(self, link: Link, key: int, last: bool = False) -> Waiting | None:
+        peer = self._peers.get(link.host)
+        if peer is None or peer.link is not link:
+            return None
+        return peer.waiting.pop(key, None) if last else peer.waiting.get(key)
+
+    def _submitted(self, link: Link, frame: Submit) -> None:
+        runs = self._accepted.get(link)
+        if runs is None:
+            return
+        sink = _RemoteSink(link, frame.key, lambda key: runs.pop(key, None))
+        run = self._owner.submit(_attempt(frame, self._address.host), sink)
+        if run is not None:
+            runs[frame.key] = run
+
+    async def _check(self) -> None:
+        """Ask silent peers for a sign of life and give up those that send none."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + CHECK_S
+            await asyncio.sleep(CHECK_S)
+            now = loop.time()
+            if now - due > LATE_CHECK_S:
+                self._pardon(now)
+            for peer in list(self._peers.values()):
+                if peer.link is not None:
+                    self._check_dialed(peer, peer.link, now)
+            for link in list(self._accepted):
+                if now - link.heard_at > IDLE_SILENCE_S:
+                    link.close("silent")
+
+    def _pardon(self, now: float) -> None:
+        """Give peers more time, since this process itself was late."""
+        for peer in self._peers.values():
+            if peer.asked_at is not NEVER:
+                peer.asked_at = now
+        for link in self._accepted:
+            link.heard_at = now
+
+    def _check_dialed(self, peer: _Peer, link: Link, now: float) -> None:
+        if link.heard_at >= peer.asked_at:
+            peer.asked_at = NEVER
+        pause = BUSY_PING_S if peer.waiting else IDLE_PING_S
+        if now - max(link.heard_at, peer.pinged_at) >= pause:
+            peer.pinged_at = now
+            peer.asked_at = min(peer.asked_at, now)
+            link.send(self._ping())
+        bound = BUSY_SILENCE_S if peer.waiting else IDLE_SILENCE_S
+        if now - peer.asked_at > bound:
+            link.close("silent")
+
+    def _ping(self) -> Ping:
+        self._tokens += 1
+        knowledge = self._knowledge
+        return Ping(
+            self._tokens,
+            knowledge.version,
+            knowledge.revision,
+            self._relay.store_served,
+        )
+
+
+def _submit(attempt: Attempt) -> Submit:
+    now = asyncio.get_running_loop().time()
+    return Submit(
+        key=attempt.key,
+        request_id=attempt.request_id,
+        upstream=attempt.upstream,
+        left_ms=(attempt.deadline - now) * 1000,
+        objective_ms=(attempt.objective - now) * 1000,
+        priority=attempt.priority,
+        repeatable=attempt.repeatable,
+        route=attempt.route,
+        version=attempt.version,
+        caller=attempt.caller,
+        method=attempt.method,
+        target=attempt.target,
+        headers=attempt.headers,
+        body=attempt.body,
+    )
+
+
+def _attempt(frame: Submit, host: str) -> Attempt:
+    now = asyncio.get_running_loop().time()
+    return Attempt(
+        key=frame.key,
+        request_id=frame.request_id,
+        upstream=frame.upstream,
+        host=host,
+        deadline=now + frame.left_ms / 1000,
+        objective=now + frame.objective_ms / 1000,
+        priority=frame.priority,
+        repeatable=frame.repeatable,
+        route=frame.route,
+        version=frame.version,
+        caller=frame.caller,
+        method=frame.method,
+        target=frame.target,
+        headers=frame.headers,
+        body=frame.body,
+    )
+
+
+def _failure(frame: Failed) -> Failure:
+    return Failure(
+        ErrorKind(frame.kind),
+        Outcome(frame.ran),
+        frame.detail,
+        frame.retry_after_s,
+        frame.offered,
+    )
--- /dev/null
+++ b/ragwortferry/mesh/placing.py
@@ -0,0 +1,164 @@
+"""Which upstream a request is sent to.
+
+The load it answers: upstreams of unequal speed, some of them cold, slow or failing,
+seen through reports that are old by the time they are used. A node adds what it has
+sent since a report to what the report says, so that its own burst does not land on one
+upstream. Among upstreams that are good enough for the caller, the own zone goes first.
+"""
+
+__all__ = ["Placer", "View"]
+
+import random
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from ragwortferry.mesh.frames import Load
+from ragwortferry.mesh.model import Upstream
+
+# Weight of the newest measurement in a moving average.
+SMOOTHING = 0.1
+# Time that an upstream is assumed to take before anything is known, in seconds.
+FIRST_SERVICE_S = 0.1
+# How much longer the other zone must make an answer faster to be preferred, as a share
+# of the latency objective; the way there and back is far shorter.
+ZONE_PENALTY = 0.12
+# Factor on the time of an upstream that has just started.
+COLD_FACTOR = 2.0
+# Seconds for which a failure counts against an upstream.
+FAILURE_MEMORY_S = 2.0
+# Weight of recent failures, as a share of the latency objective.
+FAILURE_PENALTY = 0.5
+# Seconds after which a report says nothing any more and a neutral value is used.
+REPORT_LIFE_S = 5.0
+# Upstreams that are compared at most: more would cost time and gain little.
+MAX_COMPARED = 24
+
+
+@dataclass(slots=True)
+class View:
+    """What this node knows about one upstream.
+
+    :param sent: own requests there that are not answered yet.
+    :param sent_then: the same at the time of the last report.
+    """
+
+    load: Load | None = None
+    load_at: float = -1e9
+    sent: int = 0
+    sent_then: int = 0
+    failures: float = 0.0
+    failed_at: float = -1e9
+    barred_until: float = -1e9
+    known_since: float = 0.0
+    cold_s: float = 0.0
+
+
+class Placer:
+    """Keeps views and picks upstreams.
+
+    :param zone: own availability zone.
+    :param rng: breaks ties.
+    """
+
+    def __init__(self, zone: str, rng: random.Random):
+        self._zone = zone
+        self._rng = rng
+        self._views: dict[str, View] = {}
+
+    def view(self, upstream: Upstream, now: float) -> View:
+        """Return the view of an upstream, a new one if there is none."""
+        view = self._views.get(upstream.id)
+        if view is None:
+            view = View(known_since=now, cold_s=upstream.cold_s)
+            self._views[upstream.id] = view
+        return view
+
+    def forget(self, ids: Iterable[str]) -> None:
+        """Drop the views of upstreams that are gone."""
+        for name in ids:
+            self._views.pop(name, None)
+
+    def pick(
+        self,
+        upstreams: Collection[Upstream],
+        without: Collection[str],
+        objective_s: float,
+        now: float,
+    ) -> Upstream | None:
+        """Return the upstream with the least expected cost, ``None`` if there is none.
+
+        :param without: ids that were tried already.
+        :param objective_s: latency objective of the request.
+        """
+        open_ones = [item for item in upstreams if item.id not in without]
+        if len(open_ones) > MAX_COMPARED:
+            open_ones = self._sample(open_ones)
+        usable = [u for u in open_ones if self.view(u, now).barred_until <= now]
+        best, best_cost = None, float("inf")
+        for item in usable or open_ones:
+            cost = self.cost(item, objective_s, now)
+            if cost < best_cost:
+                best, best_cost = item, cost
+        return best
+
+    def cost(self, upstream: Upstream, objective_s: float, now: float) -> float:
+        """Return the expected time of a request there, with penalties, in seconds."""
+        view = self.view(upstream, now)
+        wait, service = self.expected(upstream, now)
+        cost = wait + service
+        if upstream.zone != self._zone:
+            cost += ZONE_PENALTY * objective_s
+        age = now - view.failed_at
+        if age < FAILURE_MEMORY_S:
+            fading = 1 - age / FAILURE_MEMORY_S
+            cost += FAILURE_PENALTY * objective_s * view.failures * fading
+        return cost + self._rng.uniform(0, 0.02) * objective_s
+
+    def expected(self, upstream: Upstream, now: float) -> tuple[float, float]:
+        """Return the expected wait and service time at an upstream, in seconds."""
+        view = self.view(upstream, now)
+        load = view.load if now - view.load_at < REPORT_LIFE_S else None
+        slots = load.slots if load else upstream.slots
+        service = load.service_ms / 1000 if load else FIRST_SERVICE_S
+        if now - view.known_since < view.cold_s and load is None:
+            service *= COLD_FACTOR
+        known = load.running + load.queued if load else 0
+        busy = max(view.sent, known + view.sent - view.sent_then)
+        excess = max(0, busy + 1 - slots)
+        crowding = busy / max(1, slots)
+        return excess * service / max(1, slots), service * (1 + 0.3 * crowding)
+
+    def sent(self, upstream: Upstream, now: float) -> None:
+        """Note that a request goes out."""
+        self.view(upstream, now).sent += 1
+
+    def ended(self, upstream: Upstream, now: float) -> None:
+        """Note that a request came back in any way."""
+        view = self.view(upstream, now)
+        view.sent = max(0, view.sent - 1)
+
+    def reported(self, upstream: Upstream, load: Load, now: float) -> None:
+        """Take in what an owner says about its upstream."""
+        view = self.view(upstream, now)
+        view.load, view.load_at, view.sent_then = load, now, view.sent
+        if not load.accepting:
+            view.barred_until = max(view.barred_until, now + 1.0)
+
+    def failed(self, upstream: Upstream, now: float, bar_s: float = 0.0) -> None:
+        """Note a failure.
+
+        :param bar_s: seconds for which others are preferred whatever they cost.
+        """
+        view = self.view(upstream, now)
+        age = now - view.failed_at
+        faded = view.failures * max(0.0, 1 - age / FAILURE_MEMORY_S)
+        view.failures, view.failed_at = min(4.0, faded + 1), now
+        view.barred_until = max(view.barred_until, now + bar_s)
+
+    def _sample(self, upstreams: list[Upstream]) -> list[Upstream]:
+        near = [item for item in upstreams if item.zone == self._zone]
+        far = [item for item in upstreams if item.zone != self._zone]
+        count = MAX_COMPARED // 2
+        near = self._rng.sample(near, count) if len(near) > count else near
+        rest = min(len(far), MAX_COMPARED - len(near))
+        return near + self._rng.sample(far, rest)
--- /dev/null
+++ b/ragwortferry/mesh/reader.py
@@ -0,0 +1,215 @@
+"""Reads the store on behalf of a zone."""
+
+__all__ = ["Reader"]
+
+import asyncio
+import random
+
+from ragwortferry.kernel import Kernel
+from ragwortferry.logs import Log
+from ragwortferry.mesh.knowledge import Knowledge, RegistryChange
+from ragwortferry.mesh.model import Upstream
+from ragwortferry.mesh.peers import Peers
+from ragwortferry.mesh.relay import Relay
+from ragwortferry.platform.names import CONFIG_KEY, REGISTRY_PREFIX
+from ragwortferry.platform.registry import decode_upstream, upstream_id
+from ragwortferry.platform.store import (
+    HistoryLostError,
+    Item,
+    Store,
+    StoreUnavailableError,
+)
+from ragwortferry.utils.pacing import Backoff
+
+# Seconds that a watch waits at the store; also the time after which a store that went
+# silent is noticed.
+WATCH_S = 5.0
+# Seconds between two watches after one with changes, so that changes in quick
+# succession cost one call.
+PAUSE_S = 0.15
+# Bounds of the jittered pause between two tries to reach the store, in seconds.
+FIRST_RETRY_S, MOST_RETRY_S = 0.15, 1.0
+# Period in which a node checks whether it has to read, in seconds.
+ROLE_CHECK_S = 0.25
+# Seconds after the store is back for which entries may be missing though their
+# upstreams serve.
+LAPSE_S = 2.2
+# Share of the known upstreams that must be removed at once, without having drained, to
+# be taken for a lapse that nobody saw begin.
+LAPSE_SHARE = 0.2
+
+
+class Reader:
+    """Watches the configuration and the registry while this node is a reader."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        knowledge: Knowledge,
+        peers: Peers,
+        relay: Relay,
+        store: Store,
+        log: Log,
+        rng: random.Random,
+    ):
+        self._kernel = kernel
+        self._knowledge = knowledge
+        self._peers = peers
+        self._relay = relay
+        self._store = store
+        self._log = log
+        self._rng = rng
+        self._restored_at = -LAPSE_S
+        self._held: dict[str, int] = {}
+        self._malformed: set[str] = set()
+
+    @property
+    def reading(self) -> bool:
+        """Return whether this node has to read the store now."""
+        if not self._knowledge.ready:
+            return True
+        alive = {link.host for link in self._peers.links if link.peer_store_served}
+        return self._relay.is_reader(alive)
+
+    async def start(self) -> None:
+        """Start to read."""
+        self._kernel.spawn(self._follow("configuration", self._configuration), "config")
+        self._kernel.spawn(self._follow("registry", self._registry), "registry")
+
+    async def stop(self) -> None:
+        """Close the connections to the store."""
+        self._store.close()
+
+    async def _follow(self, name: str, read) -> None:
+        """Read and watch one part of the store for as long as this node has to."""
+        backoff = Backoff(FIRST_RETRY_S, MOST_RETRY_S, self._rng)
+        after = 0
+        while True:
+            if not self.reading:
+                after = 0
+                await asyncio.sleep(ROLE_CHECK_S)
+                continue
+            try:
+                after = await read(after)
+                self._served(name)
+                backoff.reset()
+            except HistoryLostError as error:
+                self._log.event("history-lost", "history is gone", reason=str(error))
+                after = 0
+            except StoreUnavailableError as error:
+                self._unserved(name, error)
+                await asyncio.sleep(backoff.next_delay())
+
+    def _served(self, name: str) -> None:
+        if not self._relay.store_served:
+            self._relay.store_served = True
+            self._restored_at = asyncio.get_running_loop().time()
+            self._log.event("store-regained", "store serves again", reads=name)
+
+    def _unserved(self, name: str, error: StoreUnavailableError) -> None:
+        if self._relay.store_served:
+            self._relay.store_served = False
+            self._log.event(
+                "store-lost", "store does not serve", reads=name, reason=str(error)
+            )
+
+    async def _configuration(self, after: int) -> int:
+        """Read the configuration, then wait for its next change."""
+        if not after:
+            page = await self._store.read(CONFIG_KEY)
+            self._learn_documents(page.items)
+            if page.revision:
+                return page.revision
+            await asyncio.sleep(ROLE_CHECK_S)
+            return 0
+        page = await self._store.watch(CONFIG_KEY, after, WATCH_S)
+        if page.items:
+            self._learn_documents(page.items[-1:])
+            await asyncio.sleep(PAUSE_S)
+        return max(after, page.revision)
+
+    def _learn_documents(self, items: list[Item]) -> None:
+        for item in items:
+            if item.key == CONFIG_KEY and item.value is not None:
+                self._knowledge.learn_document(item.value, "store")
+
+    async def _registry(self, after: int) -> int:
+        """Read the registry, then wait for its next changes."""
+        if not after:
+            page = await self._store.list(REGISTRY_PREFIX)
+            self._learn_whole(page.items, page.revision)
+            return page.revision
+        page = await self._store.watch(REGISTRY_PREFIX, after, WATCH_S)
+        if page.items:
+            self._learn_changes(after, page.items)
+            await asyncio.sleep(PAUSE_S)
+        return max(after, page.revision)
+
+    def _learn_whole(self, items: list[Item], revision: int) -> None:
+        found = self._decoded(items)
+        listed = {item.id for item in found}
+        missing = {
+            name: revision
+            for name, known in self._knowledge.upstreams.items()
+            if name not in listed and known.revision <= revision
+        }
+        kept = [self._knowledge.upstreams[name] for name in self._lapsed(missing)]
+        change = RegistryChange(0, revision, [*found, *kept])
+        self._knowledge.learn_registry(change, "store")
+
+    def _learn_changes(self, since: int, items: list[Item]) -> None:
+        newest = {item.key: item for item in items}
+        removed = {
+            upstream_id(item.key): item.revision
+            for item in newest.values()
+            if item.removed
+        }
+        for name in self._lapsed(removed):
+            del removed[name]
+        found = self._decoded([item for item in newest.values() if not item.removed])
+        for item in found:
+            self._held.pop(item.id, None)
+        revision = max(item.revision for item in items)
+        change = RegistryChange(since, revision, found, removed)
+        self._knowledge.learn_registry(change, "store")
+
+    def _decoded(self, items: list[Item]) -> list[Upstream]:
+        """Return the upstreams that the items name; one that cannot be read is none."""
+        found = []
+        for item in items:
+            result = decode_upstream(item.key, item.value or b"", item.revision)
+            if result.is_ok():
+                found.append(result.ok)
+            elif item.key not in self._malformed:
+                self._malformed.add(item.key)
+                reason = result.swap().ok
+                self._log.event(
+                    "entry-unusable", "entry is unusable", key=item.key, reason=reason
+                )
+        return found
+
+    def _lapsed(self, removed: dict[str, int]) -> list[str]:
+        """Return the removals that may be a lapse, and judge them again later."""
+        known = self._knowledge.upstreams
+        abrupt = [
+            name for name in removed if name in known and not known[name].draining
+        ]
+        now = asyncio.get_running_loop().time()
+        recent = not self._relay.store_served or now - self._restored_at < LAPSE_S
+        many = len(abrupt) > 1 and len(abrupt) > LAPSE_SHARE * len(known)
+        if not abrupt or not (recent or many):
+            return []
+        for name in abrupt:
+            self._held[name] = removed[name]
+        self._log.event("lapsed", "entries may have lapsed", upstreams=abrupt)
+        loop = asyncio.get_running_loop()
+        loop.call_later(LAPSE_S, self._settle, abrupt)
+        return abrupt
+
+    def _settle(self, names: list[str]) -> None:
+        """Remove the entries that have not come back."""
+        removed = {name: self._held.pop(name) for name in names if name in self._held}
+        if removed:
+            revision = self._knowledge.revision
+            change = RegistryChange(revision, revision, [], removed)
+            self._knowledge.learn_registry(change, "store")
--- /dev/null
+++ b/ragwortferry/mesh/recording.py
@@ -0,0 +1,109 @@
+"""What a node writes down about requests: one log line each, counters and latencies."""
+
+__all__ = ["Recorder"]
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ragwortferry.exceptions import ErrorKind, Outcome
+from ragwortferry.http1.messages import Request
+from ragwortferry.logs import Log
+from ragwortferry.mesh.metrics import NodeMetrics
+from ragwortferry.utils.pacing import TokenBucket
+
+if TYPE_CHECKING:
+    from ragwortferry.mesh.entry import Course
+
+# Lines a second about requests that were served, and about those that were not; with
+# about 300 bytes a line the first is 60 KB/s.
+SERVED_LINES_PER_S = 200.0
+FAILED_LINES_PER_S = 200.0
+# Lines that may come at once, as seconds of the rate.
+BURST_S = 2.0
+# Period in which left-out lines are counted in a line, in seconds.
+SUMMARY_S = 5.0
+# Longest part of a request target in a line.
+MAX_TARGET = 200
+
+
+class Recorder:
+    """Writes the record of requests in bounded volume.
+
+    :param service: service of this instance, the caller of its requests.
+    """
+
+    def __init__(self, log: Log, metrics: NodeMetrics, service: str):
+        self._log = log
+        self._metrics = metrics
+        self._service = service
+        self._served = TokenBucket(SERVED_LINES_PER_S, SERVED_LINES_PER_S * BURST_S)
+        self._failed = TokenBucket(FAILED_LINES_PER_S, FAILED_LINES_PER_S * BURST_S)
+        self._left_out = 0
+        self._summary_at = 0.0
+
+    def request(
+        self, course: "Course", status: int, error: str, outcome: Outcome, whole: bool
+    ) -> None:
+        """Write the line of a request that a route governed."""
+        now = asyncio.get_running_loop().time()
+        took = now - course.request.arrived
+        self._metrics.request(course.route.name, status, error, took)
+        if not self._may_write(now, bool(error)):
+            return
+        document = course.document
+        self._log.event(
+            "request",
+            "request ended",
+            hop="entry",
+            request_id=course.request_id,
+            caller=self._service,
+            method=course.request.method,
+            path=course.request.target[:MAX_TARGET],
+            version=document.version,
+            digest=document.digest,
+            route=course.route.name,
+            service=course.service,
+            status=status,
+            error=error,
+            outcome=str(outcome),
+            complete=whole,
+            ms=round(took * 1000, 1),
+            deadline_ms=round((course.deadline - course.request.arrived) * 1000),
+            attempts=course.attempts,
+        )
+
+    def rejected(
+        self, request: Request, request_id: str, kind: ErrorKind, version: int
+    ) -> None:
+        """Write the line of a request that no route governed."""
+        now = asyncio.get_running_loop().time()
+        self._metrics.request("", 0, str(kind), now - request.arrived)
+        if self._may_write(now, True):
+            self._log.event(
+                "request",
+                "request is rejected",
+                hop="entry",
+                request_id=request_id,
+                method=request.method,
+                path=request.target[:MAX_TARGET],
+                version=version,
+                error=str(kind),
+                outcome=str(Outcome.NOT_RUN),
+                complete=True,
+                attempts=[],
+            )
+
+    def broken(self, request: Request, error: Exception) -> None:
+        """Write the line of a request that failed in this program."""
+        self._metrics.request("", 500, str(ErrorKind.INTERNAL), 0.0)
+        path = request.target[:MAX_TARGET]
+        self._log.error("request failed in this program", error, path=path)
+
+    def _may_write(self, now: float, failed: bool) -> bool:
+        if self._left_out and now - self._summary_at >= SUMMARY_S:
+            self._log.event("left-out", "lines are left out", count=self._left_out)
+            self._left_out, self._summary_at = 0, now
+        if (self._failed if failed else self._served).try_take():
+            return True
+        self._left_out += 1
+        return False
--- /dev/null
+++ b/ragwortferry/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the platform: its names, formats and calls, and no decisions."""
--- /dev/null
+++ b/ragwortferry/platform/boot.py
@@ -0,0 +1,152 @@
+"""Decodes the settings file that the platform gives each process."""
+
+__all__ = ["Bounds", "NodeSettings", "load_node_settings", "settings_path"]
+
+import os
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct, field
+
+from ragwortferry.exceptions import SettingsError
+from ragwortferry.platform.names import SETTINGS_VARIABLE
+from ragwortferry.utils.sockets import Address
+
+
+class _Listen(Struct):
+    """Addresses: callers and the own upstream send to ``outbound``, peers to
+    ``inbound``."""
+
+    outbound: str
+    inbound: str
+    ready: str
+
+
+class _Limits(Struct):
+    memory_mb: float = 300
+    link_mbps: float = 1000.0
+    cores: float = 1
+    cpu_share: float = 1.0
+
+
+class Bounds(Struct, frozen=True):
+    """Bounds that the platform sets, in seconds where the name says so.
+
+    :param grace_s: time between SIGTERM and SIGKILL.
+    :param retry_budget_ratio: arrivals beyond the first, for each request.
+    :param retry_slack: arrivals beyond the first that are free in a window.
+    """
+
+    drain_s: float = 2.0
+    grace_s: float = 6.0
+    stable_window_s: float = 3.0
+    config_apply_s: float = 2.0
+    retry_budget_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 64.0
+
+
+class _Provider(Struct):
+    """The store."""
+
+    address: str
+    # Reading calls a second of all nodes together.
+    reads_per_s: float = 2000.0
+
+
+class _Boot(Struct):
+    # The name of the machine, not of the upstream beside it.
+    node: str
+    ip: str
+    zone: str
+    region: str
+    listen: _Listen
+    provider: _Provider
+    internal_port_range: tuple[int, int]
+    service: str = ""
+    # The address of the upstream beside this process.
+    app_addr: str = ""
+    # The period at which upstreams write their entries.
+    heartbeat_s: float = 1.5
+    limits: _Limits = field(default_factory=_Limits)
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Checked settings of a node.
+
+    :param target: the upstream beside this node, ``None`` without one.
+    :param service: service of that upstream.
+    :param link: where this node accepts links; peers use the same port.
+    :param store: address of the platform's store.
+    :param link_mbps: bandwidth of the instance's network link, in Mbit/s.
+    """
+
+    name: str
+    zone: str
+    region: str
+    service: str
+    host: str
+    target: Address | None
+    callers: Address
+    readiness: Address
+    link: Address
+    store: Address
+    store_reads_per_s: float
+    memory_mb: float
+    link_mbps: float
+    bounds: Bounds
+
+
+def settings_path(environ: Mapping[str, str] = os.environ) -> Path:
+    """Return the path of the settings file.
+
+    :raises SettingsError: if the environment does not name it.
+    """
+    if SETTINGS_VARIABLE not in environ:
+        raise SettingsError(f"{SETTINGS_VARIABLE} is not set")
+    return Path(environ[SETTINGS_VARIABLE])
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read and check the settings file.
+
+    :raises SettingsError: if it cannot be read or a value is missing or wrong.
+    """
+    try:
+        boot = msgspec.convert(tomllib.loads(path.read_text()), _Boot, strict=False)
+        return _checked(boot)
+    except OSError as error:
+        raise SettingsError(f"cannot read {path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from None
+
+
+def _checked(boot: _Boot) -> NodeSettings:
+    return NodeSettings(
+        name=boot.node,
+        zone=boot.zone,
+        region=boot.region,
+        service=boot.service,
+        host=boot.ip,
+        target=_address(boot.app_addr) if boot.app_addr else None,
+        callers=_address(boot.listen.outbound),
+        readiness=_address(boot.listen.ready),
+        link=_address(boot.listen.inbound),
+        store=_address(boot.provider.address),
+        store_reads_per_s=boot.provider.reads_per_s,
+        memory_mb=boot.limits.memory_mb,
+        link_mbps=boot.limits.link_mbps,
+        bounds=boot.bounds,
+    )
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65_536:
+        raise ValueError(f"address {text!r} is not HOST:PORT")
+    return Address(host, int(port))
--- /dev/null
+++ b/ragwortferry/platform/names.py
@@ -0,0 +1,31 @@
+"""Names of the platform that more than one module of the adapter needs."""
+
+__all__ = [
+    "CALLER_HEADER",
+    "CONFIG_KEY",
+    "DEADLINE_HEADER",
+    "HEALTH_INSTANCE_HEADER",
+    "NOT_RUN_HEADER",
+    "READY_PATH",
+    "REGISTRY_PREFIX",
+    "REQUEST_ID_HEADER",
+    "SETTINGS_VARIABLE",
+    "SIGNATURE_HEADER",
+    "TARGET_HEADER",
+]
+
+SETTINGS_VARIABLE = "RAGWORTFERRY_SETTINGS"
+READY_PATH = "/-/ready"
+
+CONFIG_KEY = "op/config"
+REGISTRY_PREFIX = "servers/"
+
+REQUEST_ID_HEADER = "X-Request-Id"
+DEADLINE_HEADER = "X-Deadline-Ms"
+SIGNATURE_HEADER = "X-Response-Signature"
+# The id of the upstream that is meant, not of a proxy.
+TARGET_HEADER = "X-Target-Instance"
+NOT_RUN_HEADER = "X-Not-Executed"
+# The service of the machine on which the request began.
+CALLER_HEADER = "X-Caller-Service"
+HEALTH_INSTANCE_HEADER = "X-Instance-Id"
--- /dev/null
+++ b/ragwortferry/platform/registry.py
@@ -0,0 +1,76 @@
+"""Decodes the entries that upstreams write about themselves."""
+
+__all__ = ["decode_upstream", "upstream_id"]
+
+from typing import Annotated, Literal
+
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import Meta, Struct
+
+from ragwortferry.mesh.model import DRAINING, READY, Upstream
+from ragwortferry.platform.names import REGISTRY_PREFIX
+from ragwortferry.utils.sockets import Address
+
+
+class _Info(Struct):
+    service: Annotated[str, Meta(min_length=1)]
+    zone: Annotated[str, Meta(min_length=1)]
+    slots: Annotated[int, Meta(ge=1, le=100_000)]
+    # The version of the upstream's software, not of the configuration.
+    version: str = ""
+
+
+class _Status(Struct):
+    state: Literal["ready", "draining"]
+    # Counts the upstream's own reports; it starts anew with each start.
+    seq: int
+    cold_remaining_s: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class _Entry(Struct):
+    address: Annotated[str, Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")]
+    info: _Info
+    status: _Status
+    # The start of the upstream in milliseconds since the epoch.
+    born: int = 0
+
+
+_DECODER = msgspec.json.Decoder(_Entry)
+
+
+def upstream_id(key: str) -> str:
+    """Return the id that a key of the registry stands for."""
+    return key.removeprefix(REGISTRY_PREFIX)
+
+
+def decode_upstream(key: str, value: bytes, revision: int) -> Result[Upstream, str]:
+    """Return the upstream that an entry names, or why it names none.
+
+    :param revision: revision of the store at which the entry last changed.
+
+    >>> decode_upstream("servers/i-1", b"?", 3).is_error()
+    True
+    """
+    try:
+        entry = _DECODER.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Error(str(error))
+    host, _, port = entry.address.partition(":")
+    if not 0 < int(port) < 65_536 or not upstream_id(key):
+        return Error(f"address {entry.address!r} or id is out of range")
+    if entry.status.state not in (READY, DRAINING):
+        return Error(f"state {entry.status.state!r} is unknown")
+    return Ok(
+        Upstream(
+            id=upstream_id(key),
+            service=entry.info.service,
+            address=Address(host, int(port)),
+            zone=entry.info.zone,
+            slots=entry.info.slots,
+            draining=entry.status.state == DRAINING,
+            cold_s=entry.status.cold_remaining_s,
+            born_ms=entry.born,
+            revision=revision,
+        )
+    )
--- /dev/null
+++ b/ragwortferry/platform/store.py
@@ -0,0 +1,230 @@
+"""Calls to the platform's store, which can be read and watched."""
+
+__all__ = ["HistoryLostError", "Item", "Page", "Store", "StoreUnavailableError"]
+
+import asyncio
+import binascii
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+import msgspec
+
+from ragwortferry.exceptions import SourceError
+from ragwortferry.http1.client import (
+    AnswerHead,
+    ClientConnection,
+    ConnectionBrokenError,
+    Pool,
+)
+from ragwortferry.http1.messages import encode_request
+from ragwortferry.utils.sockets import Address
+
+# Seconds until a reading call must be answered; the store answers in milliseconds and
+# may be fifty times slower.
+CALL_TIMEOUT_S = 1.5
+# Seconds that a waiting call may be late.
+WATCH_MARGIN_S = 1.0
+# Seconds since its last use after which a connection is replaced before a call.
+MAX_IDLE_S = 3.0
+OK, NOT_FOUND, GONE = 200, 404, 410
+
+
+class StoreUnavailableError(SourceError):
+    """The store did not answer, or turned the call away."""
+
+
+class HistoryLostError(SourceError):
+    """The changes since the given revision are no longer kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A key as it was written, or its removal.
+
+    :param value: ``None`` if the key was removed, or if it cannot be decoded.
+    """
+
+    key: str
+    revision: int
+    value: bytes | None
+    removed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Items or changes, and the revision of the store that they belong to."""
+
+    items: list[Item]
+    revision: int
+    has_more: bool = False
+
+
+class _Item(msgspec.Struct):
+    key: str
+    # The revision of the item's last change, not of the store.
+    rev: int
+    value: str | None = None
+    removed: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    store_revision: int
+    has_more: bool = False
+
+
+class _Watch(msgspec.Struct):
+    events: list[_Item]
+    store_revision: int
+
+
+class _Single(msgspec.Struct):
+    key: str
+    rev: int
+    store_revision: int
+    value: str | None = None
+
+
+class _Answer:
+    """Collects one answer of the store."""
+
+    def __init__(self):
+        self._parts: list[bytes] = []
+        self.status = 0
+        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    @property
+    def body(self) -> bytes:
+        """Return what has come."""
+        return b"".join(self._parts)
+
+    def accepts(self, head: AnswerHead) -> bool:
+        """Take any answer: a connection carries one call at a time."""
+        return True
+
+    def on_head(self, head: AnswerHead) -> None:
+        """Keep the status."""
+        self.status = head.status
+
+    def on_data(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        self._parts.append(data)
+
+    def on_end(self) -> None:
+        """Wake the caller."""
+        if not self.done.done():
+            self.done.set_result(None)
+
+    def on_broken(self, error: ConnectionBrokenError) -> None:
+        """Wake the caller with the error."""
+        if not self.done.done():
+            self.done.set_exception(error)
+
+
+class Store:
+    """Client of the store.
+
+    :param address: where the store listens.
+    :param own_host: IP number from which connections are made.
+    """
+
+    def __init__(self, address: Address, own_host: str):
+        self._host = f"{address.host}:{address.port}"
+        self._pool = Pool(address, own_host)
+        self.calls = 0
+
+    async def read(self, key: str) -> Page:
+        """Return one key, or an empty page if it is not there.
+
+        :raises StoreUnavailableError: if the store does not serve the call.
+        """
+        status, body = await self._call("kv-key", CALL_TIMEOUT_S, key=key)
+        if status == NOT_FOUND:
+            return Page([], 0)
+        single = self._decode(body, _Single)
+        item = _Item(single.key, single.rev, single.value)
+        return Page([_item(item)], single.store_revision)
+
+    async def list(self, prefix: str) -> Page:
+        """Return all items below a prefix.
+
+        The pages are no snapshot: the revision is that of the first page, and the
+        changes after it have to be applied to the items.
+
+        :raises StoreUnavailableError: if the store does not serve a call.
+        """
+        items: list[Item] = []
+        revision, after = None, None
+        while True:
+            given = {"after": after} if after else {}
+            _, body = await self._call(
+                "kv-range", CALL_TIMEOUT_S, prefix=prefix, **given
+            )
+            page = self._decode(body, _Range)
+            revision = page.store_revision if revision is None else revision
+            items += [_item(item) for item in page.items]
+            if not page.has_more or not page.items:
+                return Page(items, revision)
+            after = page.items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Page:
+        """Return the changes below a prefix since a revision, as soon as there are any.
+
+        :raises HistoryLostError: if they are no longer kept.
+        :raises StoreUnavailableError: if the store does not serve the call.
+        """
+        wait_ms = int(wait_s * 1000)
+        status, body = await self._call(
+            "kv-watch",
+            wait_s + WATCH_MARGIN_S,
+            prefix=prefix,
+            after=after,
+            wait_ms=wait_ms,
+        )
+        if status == GONE:
+            raise HistoryLostError(f"no changes since revision {after} are kept")
+        page = self._decode(body, _Watch)
+        return Page([_item(item) for item in page.events], page.store_revision)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.clear()
+
+    async def _call(self, name: str, timeout: float, **query) -> tuple[int, bytes]:
+        self.calls += 1
+        connection: ClientConnection | None = None
+        try:
+            async with asyncio.timeout(timeout):
+                connection = await self._pool.acquire(MAX_IDLE_S)
+                answer = _Answer()
+                target = f"/-/{name}?{urlencode(query)}"
+                headers = [("Host", self._host)]
+                connection.send(encode_request("GET", target, headers, b""), answer)
+                await answer.done
+        except BaseException as error:
+            if connection is not None:
+                connection.close()
+            if isinstance(error, (TimeoutError, ConnectionBrokenError)):
+                reason = str(error) or "no answer in time"
+                raise StoreUnavailableError(f"{name}: {reason}") from None
+            raise
+        self._pool.release(connection)
+        if answer.status not in (OK, NOT_FOUND, GONE):
+            raise StoreUnavailableError(f"{name}: answered {answer.status}")
+        return answer.status, answer.body
+
+    def _decode(self, body: bytes, kind: type):
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise StoreUnavailableError(f"unusable answer: {error}") from None
+
+
+def _item(item: _Item) -> Item:
+    value = None
+    if item.value is not None and not item.removed:
+        try:
+            value = binascii.a2b_base64(item.value, strict_mode=True)
+        except (binascii.Error, ValueError):
+            value = None
+    return Item(item.key, item.rev, value, item.removed)
--- a/ragwortferry/utils/sockets.py
+++ b/ragwortferry/utils/sockets.py
@@ -1,10 +1,23 @@
 """Sockets by IP number, made without the resolver and its threads."""
 
-__all__ = ["connect", "listen"]
+__all__ = ["Address", "connect", "connected_socket", "listen"]
 
 import asyncio
 import socket
 
+import msgspec
+
+# Milliseconds for which sent data may stay without acknowledgement before the
+# connection counts as lost; below it, links detect silence by their own heartbeats.
+USER_TIMEOUT_MS = 3_000
+
+
+class Address(msgspec.Struct, frozen=True, array_like=True):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
 
 def listen(host: str, port: int, backlog: int) -> socket.socket:
     """Return a listening socket.
@@ -25,6 +38,27 @@
     return sock
 
 
+async def connected_socket(address: Address, own_host: str = "") -> socket.socket:
+    """Return a socket that is connected to an IP number.
+
+    :param own_host: own IP number to connect from.
+    :raises OSError: if it is refused or the address cannot be bound.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        if own_host:
+            sock.bind((own_host, 0))
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (address.host, address.port))
+        return sock
+    except BaseException:
+        sock.close()
+        raise
+
+
 async def connect(
     host: str, port: int, own_host: str
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -32,12 +66,8 @@
 
     :raises OSError: if it is refused or the address cannot be bound.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = await connected_socket(Address(host, port), own_host)
     try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.bind((own_host, 0))
-        await asyncio.get_running_loop().sock_connect(sock, (host, port))
         return await asyncio.open_connection(sock=sock)
     except BaseException:
         sock.close()
