Play real node processes against stand-ins of the store and the upstreams

Cause: the nodes had no test with real processes on the platform's protocol. Change: stand-ins of store, upstream and a small mesh on loopback addresses; 17 scenarios.

--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -16,7 +16,9 @@
     return Job(route, priority, now + objective, now + deadline)
 
 
-def _play(rate: float, seconds: float, seed: int, service_s: float = 0.1, slots: int = 4):
+def _play(
+    rate: float, seconds: float, seed: int, service_s: float = 0.1, slots: int = 4
+):
     """Offer a load to one upstream; return jobs, their ends and the refusals."""
     rng = random.Random(seed)
     refused: dict[Job, str] = {}
--- /dev/null
+++ b/ragwortferry/mesh/tests/test_nodes.py
@@ -0,0 +1,331 @@
+"""Real node processes between callers, upstreams and the store."""
+
+import asyncio
+import itertools
+import signal
+
+import pytest
+
+from ragwortferry.tests.mesh_builders import a_config
+from standins.mesh import Mesh
+
+SUBNETS = itertools.count(1)
+LIMIT_S = 60
+
+
+def _unsafe_config(version: str = "r7") -> dict:
+    config = a_config(version)
+    config["listeners"][0]["rules"][1]["route_type"] = "unsafe"
+    return config
+
+
+@pytest.fixture
+def play(tmp_path):
+    """Run a scenario against a mesh of four machines in two zones."""
+
+    def run(scenario, layout=None, config=None):
+        async def main():
+            mesh = Mesh(tmp_path, next(SUBNETS))
+            try:
+                async with asyncio.timeout(LIMIT_S):
+                    await mesh.accept(config or a_config())
+                    await mesh.start(
+                        layout
+                        or [
+                            ("tablero", "a"),
+                            ("tablero", "b"),
+                            ("archivo", "a"),
+                            ("tablero", "a"),
+                        ]
+                    )
+                    await mesh.ready()
+                    await scenario(mesh)
+            finally:
+                await mesh.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_request_is_served_unchanged(play):
+    async def scenario(mesh):
+        for number, machine in enumerate(mesh.machines):
+            request_id = f"r{number}"
+            status, body, headers = await mesh.ask(
+                machine,
+                "/panels/a%20b?x=1&y=%2F",
+                request_id,
+                method="POST",
+                data=b"payload",
+                headers={"X-Caller-Service": "forged", "X-Other": "kept"},
+            )
+            assert status == 200 and body.startswith(request_id.encode())
+            assert "X-Response-Signature" in headers
+            assert mesh.runs(request_id) == 1
+            owner = next(m for m in mesh.machines if m.upstream.ran[request_id])
+            assert owner.upstream.service == "tablero"
+            assert owner.upstream.callers[request_id] == machine.upstream.service
+            assert owner.upstream.bodies[request_id] == (
+                "POST",
+                "/panels/a%20b?x=1&y=%2F",
+                b"payload",
+            )
+
+    play(scenario)
+
+
+def test_unknown_route_is_404_and_the_longest_prefix_decides(play):
+    async def scenario(mesh):
+        machine = mesh.machines[0]
+        assert (await mesh.ask(machine, "/", "r1", host="other.example"))[0] == 404
+        assert (await mesh.ask(machine, "/panels/exports/1", "r2"))[0] == 200
+        assert mesh.machines[2].upstream.ran["r2"] == 1
+
+    play(scenario)
+
+
+def test_accepted_version_is_in_force_on_all_nodes(play):
+    async def scenario(mesh):
+        config = a_config("r9")
+        config["listeners"][0]["host"] = "new.example"
+        await mesh.accept(config)
+        async with asyncio.timeout(2.0):
+            for machine in mesh.machines:
+                while (await mesh.ask(machine, "/x", "a", host="new.example"))[
+                    0
+                ] != 200:
+                    await asyncio.sleep(0.01)
+        assert (await mesh.ask(mesh.machines[0], "/x", "b"))[0] == 404
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("fault", ["busy", "reset", "silent"])
+def test_version_reaches_nodes_that_the_store_turns_away(play, fault):
+    async def scenario(mesh):
+        mesh.store.barred = {
+            machine.host for machine in mesh.machines if machine.zone == "a"
+        }
+        mesh.store.fault = fault
+        config = a_config("r9")
+        config["listeners"][0]["host"] = "new.example"
+        await mesh.accept(config)
+        async with asyncio.timeout(2.0):
+            for machine in mesh.machines:
+                while (await mesh.ask(machine, "/x", "a", host="new.example"))[
+                    0
+                ] != 200:
+                    await asyncio.sleep(0.01)
+
+    play(scenario)
+
+
+def test_node_that_restarts_without_the_store_learns_from_its_peers(play):
+    async def scenario(mesh):
+        mesh.store.fault = "busy"
+        machine = mesh.machines[3]
+        await mesh.end(machine, signal.SIGKILL)
+        await mesh.run(machine)
+        await mesh.ready(machine)
+        assert (await mesh.ask(machine, "/panels/1", "r1"))[0] == 200
+
+    play(scenario)
+
+
+def test_draining_upstream_gets_no_new_work(play):
+    async def scenario(mesh):
+        leaving = mesh.machines[0]
+        await mesh.register(leaving, "draining")
+        await mesh.until(
+            lambda: all(
+                any("i-1" in line["draining"] for line in mesh.lines(m, "registry"))
+                for m in mesh.machines
+            )
+        )
+        before = leaving.upstream.ran.total()
+        for number in range(30):
+            assert (
+                await mesh.ask(mesh.machines[number % 4], "/panels/1", f"r{number}")
+            )[0] == 200
+        assert leaving.upstream.ran.total() == before
+
+    play(scenario)
+
+
+def test_lost_answer_of_a_repeatable_request_is_asked_for_elsewhere(play):
+    async def scenario(mesh):
+        mesh.machines[0].upstream.fault = "lost"
+        mesh.machines[1].upstream.fault = "cut"
+        for number in range(10):
+            status, body, _ = await mesh.ask(
+                mesh.machines[0], "/panels/1", f"r{number}"
+            )
+            assert status in (200, 502)
+            assert status != 200 or len(body) == 64
+        served = sum(mesh.machines[3].upstream.ran[f"r{n}"] for n in range(10))
+        assert served >= 8
+
+    play(scenario)
+
+
+def test_request_that_may_run_once_never_runs_twice(play):
+    async def scenario(mesh):
+        for machine in mesh.machines:
+            machine.upstream.fault = "lost"
+        for number in range(12):
+            status, _, _ = await mesh.ask(
+                mesh.machines[number % 4],
+                "/panels/1",
+                f"r{number}",
+                method="POST",
+                data=b"x",
+            )
+            assert status in (502, 504)
+            assert mesh.runs(f"r{number}") == 1
+
+    play(scenario, config=_unsafe_config())
+
+
+def test_refusal_that_says_not_run_is_true(play):
+    async def scenario(mesh):
+        for machine in mesh.machines:
+            machine.upstream.slots = 1
+            machine.upstream.work_s = 0.3
+            await mesh.register(machine)
+        asked = [
+            mesh.ask(
+                mesh.machines[n % 4], "/panels/1", f"r{n}", method="POST", data=b"x"
+            )
+            for n in range(40)
+        ]
+        answers = await asyncio.gather(*asked)
+        statuses = [status for status, _, _ in answers]
+        assert 200 in statuses and 503 in statuses
+        for number, (status, _, headers) in enumerate(answers):
+            assert mesh.runs(f"r{number}") <= 1
+            if status == 503:
+                assert mesh.runs(f"r{number}") == 0
+                assert 0 < float(headers["Retry-After"]) <= 2.0
+
+    play(scenario, config=_unsafe_config())
+
+
+def test_caller_that_leaves_releases_the_upstream(play):
+    async def scenario(mesh):
+        for machine in mesh.machines:
+            machine.upstream.work_s = 5.0
+        task = asyncio.create_task(mesh.ask(mesh.machines[2], "/panels/1", "r1"))
+        await mesh.until(lambda: mesh.runs("r1"))
+        task.cancel()
+        async with asyncio.timeout(0.5):
+            await mesh.until(
+                lambda: any("r1" in m.upstream.dropped for m in mesh.machines)
+            )
+
+    play(scenario)
+
+
+def test_route_time_out_has_its_final_answer(play):
+    async def scenario(mesh):
+        for machine in mesh.machines:
+            machine.upstream.work_s = 5.0
+        began = asyncio.get_running_loop().time()
+        status, _, _ = await mesh.ask(
+            mesh.machines[0], "/panels/1", "r1", deadline_ms=4000
+        )
+        took = asyncio.get_running_loop().time() - began
+        assert status == 504 and took < 1.5
+
+    play(scenario)
+
+
+def test_killed_owner_costs_no_repeatable_request(play):
+    async def scenario(mesh):
+        for machine in mesh.machines:
+            machine.upstream.work_s = 0.2
+        asked = [
+            asyncio.create_task(mesh.ask(mesh.machines[0], "/panels/1", f"r{n}"))
+            for n in range(9)
+        ]
+        await mesh.until(lambda: mesh.machines[3].upstream.running)
+        await mesh.end(mesh.machines[3], signal.SIGKILL)
+        assert [answer[0] for answer in await asyncio.gather(*asked)] == [200] * 9
+
+    play(scenario)
+
+
+def test_planned_stop_cuts_nothing_off(play):
+    async def scenario(mesh):
+        leaving = mesh.machines[0]
+        for machine in mesh.machines:
+            machine.upstream.work_s = 0.3
+        answers = []
+
+        async def caller(number):
+            for step in itertools.count():
+                if leaving.process.returncode is not None:
+                    return
+                answers.append(
+                    await mesh.ask(leaving, "/panels/1", f"r{number}-{step}")
+                )
+
+        callers = [asyncio.create_task(caller(number)) for number in range(6)]
+        await mesh.until(lambda: len(answers) > 6)
+        began = asyncio.get_running_loop().time()
+        assert await mesh.end(leaving) == 0
+        assert asyncio.get_running_loop().time() - began < 6.0
+        await asyncio.gather(*callers)
+        read = {line["request_id"] for line in mesh.lines(leaving, "request")}
+        cut = sum(status == 0 for status, _, _ in answers)
+        served = sum(status == 200 for status, _, _ in answers)
+        assert served + cut + sum(s == 503 for s, _, _ in answers) == len(answers)
+        assert len(read) == len(answers) - cut
+
+    play(scenario)
+
+
+def test_registry_survives_entries_that_name_no_upstream(play):
+    async def scenario(mesh):
+        await mesh.store.put("servers/i-odd", b"\xff\x00")
+        await mesh.store.put("servers/i-new", b'{"address": 3}')
+        await mesh.store.put("servers/i-other", b'{"info": {"service": "who"}}')
+        await mesh.until(
+            lambda: any(
+                mesh.lines(machine, "entry-unusable") for machine in mesh.machines
+            )
+        )
+        for number, machine in enumerate(mesh.machines):
+            assert (await mesh.ask(machine, "/panels/1", f"r{number}"))[0] == 200
+
+    play(scenario)
+
+
+def test_lapsed_entries_are_kept_until_their_upstreams_had_time_to_return(play):
+    async def scenario(mesh):
+        mesh.store.fault = "busy"
+        await mesh.until(
+            lambda: any(mesh.lines(machine, "store-lost") for machine in mesh.machines)
+        )
+        for machine in mesh.machines:
+            await mesh.store.delete(f"servers/{machine.upstream.name}")
+        mesh.store.fault = ""
+        await mesh.until(
+            lambda: any(mesh.lines(machine, "lapsed") for machine in mesh.machines)
+        )
+        assert (await mesh.ask(mesh.machines[0], "/panels/1", "r1"))[0] == 200
+        for machine in mesh.machines[:3]:
+            await mesh.register(machine)
+        await mesh.until(
+            lambda: any(
+                "i-4" in line["removed"]
+                for line in mesh.lines(mesh.machines[0], "registry")
+            )
+        )
+        for number in range(8):
+            assert (await mesh.ask(mesh.machines[0], "/panels/1", f"s{number}"))[
+                0
+            ] == 200
+        assert not any(mesh.machines[3].upstream.ran[f"s{n}"] for n in range(8))
+
+    play(scenario)
--- a/ragwortferry/platform/tests/test_decoders.py
+++ b/ragwortferry/platform/tests/test_decoders.py
@@ -58,7 +58,11 @@
     assert [part.service for part in route.destinations] == ["tablero", "archivo"]
     assert route.repeatable
     config["listeners"][0]["rules"][0]["route_type"] = "unsafe"
-    assert not decode_document(_encoded(config)).ok.match("boards.example", "/x").repeatable
+    assert (
+        not decode_document(_encoded(config))
+        .ok.match("boards.example", "/x")
+        .repeatable
+    )
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/standins/mesh.py
@@ -0,0 +1,222 @@
+"""A small mesh on loopback addresses: a store, upstreams and real node processes."""
+
+__all__ = ["Machine", "Mesh"]
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+from yarl import URL
+
+from standins.store import StoreStandin
+from standins.upstream import UpstreamStandin
+
+STORE_PORT = 18142
+UPSTREAM_PORT, CALLERS_PORT, READY_PORT, LINK_PORT = 18147, 18141, 18140, 18145
+STORE_HOST_NUMBER = 250
+POLL_S = 0.02
+END_S = 8.0
+
+SETTINGS = """
+node = "{name}"
+role = "node"
+ip = "{host}"
+zone = "{zone}"
+region = "r"
+internal_port_range = [{link}, {link}]
+service = "{service}"
+app_addr = "{host}:{upstream}"
+heartbeat_s = 1.5
+[listen]
+inbound = "{host}:{link}"
+outbound = "{host}:{callers}"
+ready = "{host}:{ready}"
+[limits]
+memory_mb = 300
+[bounds]
+drain_s = 2
+grace_s = 6
+retry_budget_ratio = 0.2
+retry_window_s = 10
+retry_slack = 64
+[provider]
+address = "{store}:{store_port}"
+reads_per_s = 2000
+"""
+
+
+@dataclass(eq=False)
+class Machine:
+    """One instance: an upstream and the node beside it."""
+
+    name: str
+    host: str
+    zone: str
+    upstream: UpstreamStandin
+    settings: Path
+    log: Path
+    process: asyncio.subprocess.Process | None = None
+    starts: int = 0
+
+    def url(self, path: str) -> URL:
+        """Return where the callers of this instance send a path, as it is."""
+        return URL(f"http://{self.host}:{CALLERS_PORT}{path}", encoded=True)
+
+
+@dataclass(eq=False)
+class Mesh:
+    """The whole of it.
+
+    :param folder: where settings and logs are written.
+    :param subnet: third number of the loopback addresses, so that meshes that run at
+        the same time do not meet.
+    """
+
+    folder: Path
+    subnet: int
+    store: StoreStandin = field(default_factory=StoreStandin)
+    machines: list[Machine] = field(default_factory=list)
+    session: aiohttp.ClientSession | None = None
+
+    @property
+    def _store_host(self) -> str:
+        return f"127.77.{self.subnet}.{STORE_HOST_NUMBER}"
+
+    async def start(self, layout: list[tuple[str, str]]) -> None:
+        """Start the store, and a machine for each service and zone of the layout."""
+        await self.store.start(self._store_host, STORE_PORT)
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=False)
+        )
+        for service, zone in layout:
+            await self.add(service, zone)
+
+    async def add(self, service: str, zone: str, register: bool = True) -> Machine:
+        """Start one more upstream and its node."""
+        number = len(self.machines) + 1
+        host = f"127.77.{self.subnet}.{number}"
+        upstream = UpstreamStandin(f"i-{number}", service, zone)
+        await upstream.start(host, UPSTREAM_PORT)
+        name = f"node-{number}"
+        machine = Machine(
+            name,
+            host,
+            zone,
+            upstream,
+            self.folder / f"{name}.toml",
+            self.folder / f"{name}.log",
+        )
+        machine.settings.write_text(
+            SETTINGS.format(
+                name=name,
+                host=host,
+                zone=zone,
+                service=service,
+                upstream=UPSTREAM_PORT,
+                callers=CALLERS_PORT,
+                ready=READY_PORT,
+                link=LINK_PORT,
+                store=self._store_host,
+                store_port=STORE_PORT,
+            )
+        )
+        self.machines.append(machine)
+        if register:
+            await self.register(machine)
+        await self.run(machine)
+        return machine
+
+    async def run(self, machine: Machine) -> None:
+        """Start the node of a machine."""
+        environ = {**os.environ, "RAGWORTFERRY_SETTINGS": str(machine.settings)}
+        with machine.log.open("ab") as log:
+            machine.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "ragwortferry",
+                "node",
+                env=environ,
+                stdout=log,
+                stderr=log,
+            )
+        machine.starts += 1
+
+    async def register(self, machine: Machine, state: str = "ready") -> int:
+        """Write the entry of an upstream and return its revision."""
+        key = f"servers/{machine.upstream.name}"
+        return await self.store.put(key, machine.upstream.entry(state))
+
+    async def accept(self, config: dict) -> int:
+        """Write a configuration and return its revision."""
+        return await self.store.put("op/config", json.dumps(config).encode())
+
+    async def ready(self, *machines: Machine) -> None:
+        """Wait until nodes say that they are ready, all if none is given."""
+        for machine in machines or self.machines:
+            url = f"http://{machine.host}:{READY_PORT}/-/ready"
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with self.session.get(url) as answer:
+                        if answer.status == 200:
+                            break
+                await asyncio.sleep(POLL_S)
+
+    async def ask(
+        self, machine: Machine, path: str, request_id: str, **options
+    ) -> tuple[int, bytes, dict]:
+        """Send a request to a node; status 0 stands for a closed connection."""
+        headers = {
+            "Host": options.pop("host", "boards.example"),
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(options.pop("deadline_ms", 2000)),
+            **options.pop("headers", {}),
+        }
+        method = options.pop("method", "GET")
+        try:
+            async with self.session.request(
+                method, machine.url(path), headers=headers, **options
+            ) as answer:
+                return answer.status, await answer.read(), dict(answer.headers)
+        except aiohttp.ClientError:
+            return 0, b"", {}
+
+    def lines(self, machine: Machine, event: str) -> list[dict]:
+        """Return the log lines of a node that tell of an event."""
+        found = []
+        for line in machine.log.read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                content = json.loads(line)
+                if content.get("message_type") == event:
+                    found.append(content)
+        return found
+
+    async def until(self, condition) -> None:
+        """Wait until a condition holds."""
+        while not condition():
+            await asyncio.sleep(POLL_S)
+
+    def runs(self, request_id: str) -> int:
+        """Return how often a request ran at any upstream."""
+        return sum(machine.upstream.ran[request_id] for machine in self.machines)
+
+    async def end(self, machine: Machine, number: int = signal.SIGTERM) -> int:
+        """Send a signal to a node and wait for its end."""
+        if machine.process.returncode is None:
+            machine.process.send_signal(number)
+        return await machine.process.wait()
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        for machine in self.machines:
+            if machine.process and machine.process.returncode is None:
+                machine.process.kill()
+                await machine.process.wait()
+            await machine.upstream.stop()
+        await self.session.close()
+        await self.store.stop()
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,142 @@
+"""Stand-in of the users' store: items, ranges and watches over HTTP, with faults."""
+
+__all__ = ["StoreStandin"]
+
+import asyncio
+import base64
+from dataclasses import dataclass
+
+from aiohttp import web
+
+PAGE_ITEMS = 50
+
+
+@dataclass(slots=True)
+class _Item:
+    key: str
+    value: bytes
+    revision: int
+    created: int
+
+
+class StoreStandin:
+    """Serves reading calls; the test writes by method calls.
+
+    ``fault`` is ``""``, ``"busy"`` (503), ``"reset"`` (connections are dropped) or
+    ``"silent"`` (no answer). ``barred`` holds IP numbers for which the fault is in
+    force, all if it is empty.
+    """
+
+    def __init__(self):
+        self._items: dict[str, _Item] = {}
+        self._events: list[dict] = []
+        self._changed = asyncio.Condition()
+        self._runner: web.AppRunner | None = None
+        self._kept_since = 0
+        self.revision = 100
+        self.calls: dict[str, int] = {}
+        self.fault = ""
+        self.barred: set[str] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        app = web.Application()
+        app.router.add_get("/-/kv-key", self._key)
+        app.router.add_get("/-/kv-range", self._range)
+        app.router.add_get("/-/kv-watch", self._watch)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        """Close the port."""
+        await self._runner.cleanup()
+
+    async def put(self, key: str, value: bytes) -> int:
+        """Write an item and return its revision."""
+        async with self._changed:
+            self.revision += 1
+            known = self._items.get(key)
+            created = known.created if known else self.revision
+            item = _Item(key, value, self.revision, created)
+            self._items[key] = item
+            self._events.append(_encoded(item))
+            self._changed.notify_all()
+            return self.revision
+
+    async def delete(self, key: str) -> int:
+        """Remove an item and return the revision of its removal."""
+        async with self._changed:
+            self.revision += 1
+            self._items.pop(key, None)
+            self._events.append({"key": key, "rev": self.revision, "removed": True})
+            self._changed.notify_all()
+            return self.revision
+
+    def drop_history(self) -> None:
+        """Forget the changes so far; the items stay."""
+        self._events.clear()
+        self._kept_since = self.revision
+
+    async def _admit(self, request: web.Request) -> None:
+        name = request.path.rpartition("/")[2]
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if not self.fault or (self.barred and request.remote not in self.barred):
+            return
+        if self.fault == "busy":
+            raise web.HTTPServiceUnavailable
+        if self.fault == "reset":
+            request.transport.abort()
+        while self.fault == "silent":
+            await asyncio.sleep(0.05)
+        raise web.HTTPServiceUnavailable
+
+    async def _key(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        item = self._items.get(request.query["key"])
+        if item is None:
+            raise web.HTTPNotFound
+        return web.json_response({**_encoded(item), "store_revision": self.revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        keys = sorted(key for key in self._items if key.startswith(prefix))
+        keys = [key for key in keys if key > after]
+        page = [_encoded(self._items[key]) for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return web.json_response(
+            {"items": page, "has_more": more, "store_revision": self.revision}
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        prefix, after = request.query["prefix"], int(request.query["after"])
+        wait_s = int(request.query["wait_ms"]) / 1000
+        if after < self._kept_since:
+            raise web.HTTPGone
+
+        def found() -> list[dict]:
+            return [
+                event
+                for event in self._events
+                if event["rev"] > after and event["key"].startswith(prefix)
+            ]
+
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(found)
+        except TimeoutError:
+            pass
+        await self._admit(request)
+        return web.json_response({"events": found(), "store_revision": self.revision})
+
+
+def _encoded(item: _Item) -> dict:
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "rev": item.revision,
+        "created_rev": item.created,
+        "lease": 0,
+    }
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,101 @@
+"""Stand-in of an upstream on the users' platform, with a ledger of what ran."""
+
+__all__ = ["UpstreamStandin"]
+
+import asyncio
+import json
+from collections import Counter
+
+from aiohttp import web
+
+
+class UpstreamStandin:
+    """Runs requests for a while and signs its answers.
+
+    ``fault`` is ``""``, ``"lost"`` (it runs a request and drops the connection),
+    ``"cut"`` (it breaks its answers off) or ``"shed"`` (it turns requests away).
+    """
+
+    def __init__(self, name: str, service: str, zone: str, slots: int = 8):
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.work_s = 0.01
+        self.answer_bytes = 64
+        self.fault = ""
+        self.ran: Counter[str] = Counter()
+        self.callers: dict[str, str] = {}
+        self.bodies: dict[str, tuple[str, str, bytes]] = {}
+        self.dropped: list[str] = []
+        self.running = 0
+        self.most_running = 0
+        self.address = ""
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        server = web.Server(self._serve, access_log=None, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close the port."""
+        await self._runner.cleanup()
+
+    def entry(self, state: str = "ready") -> bytes:
+        """Return what the upstream writes into the registry."""
+        content = {
+            "address": self.address,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "slots": self.slots,
+            },
+            "status": {"state": state, "seq": 1, "cold_remaining_s": 0},
+            "born": 1_700_000_000_000,
+        }
+        return json.dumps(content).encode()
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        meant = request.headers.get("X-Target-Instance", self.name)
+        if meant != self.name:
+            headers = {"X-Instance-Id": self.name, "X-Not-Executed": "1"}
+            return web.Response(status=421, headers=headers)
+        if self.fault == "shed" or self.running >= self.slots + 4:
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        return await self._work(request, request_id)
+
+    async def _work(self, request: web.BaseRequest, request_id: str):
+        body = await request.read()
+        self.ran[request_id] += 1
+        self.callers[request_id] = request.headers.get("X-Caller-Service", "")
+        self.bodies[request_id] = (request.method, request.raw_path, body)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await asyncio.sleep(self.work_s)
+        except asyncio.CancelledError:
+            self.dropped.append(request_id)
+            raise
+        finally:
+            self.running -= 1
+        headers = {"X-Request-Id": request_id, "X-Response-Signature": self.name}
+        content = (request_id + "x" * self.answer_bytes)[: self.answer_bytes].encode()
+        if self.fault == "lost":
+            request.transport.abort()
+        if self.fault == "cut":
+            return await self._cut(request, headers, content)
+        return web.Response(body=content, headers=headers)
+
+    async def _cut(self, request, headers, content) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_length = len(content)
+        await response.prepare(request)
+        await response.write(content[: len(content) // 2])
+        request.transport.abort()
+        return response
