Serve what can be on time first, refuse at once, end without cutting requests

Change: admission refuses what would lose its objective in the queue and lets late requests run in the gaps; owners report failures; placing skips unreachable owners and weighs the bytes of answers from other zones; a leaving node refuses what would outlast it, then reads no more and answers what it has read. Found by test_planned_stop_cuts_nothing_off, once in 5 runs: a request read between the last look and the end was cut.

--- a/ragwortferry/http1/server.py
+++ b/ragwortferry/http1/server.py
@@ -191,7 +191,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what came; the callbacks below build the requests."""
-        if self._ended:
+        if self._ended or self._server.closed and self._begun_at is None:
             return
         self.active_at = self._loop.time()
         if not self._in_body:
@@ -347,16 +347,22 @@
         )
         self._sweeper = loop.create_task(self._sweep())
 
-    async def stop(self) -> None:
-        """Close the port and the connections."""
-        self.closed = True
-        if self._sweeper:
-            self._sweeper.cancel()
+    def shut(self) -> None:
+        """Close the port and read no more requests; those that were read go on."""
+        if self.closed:
+            return
+        self.closing = self.closed = True
         if self._listener:
             self._listener.close()
         for connection in list(self.connections):
             connection.sweep(asyncio.get_running_loop().time())
 
+    async def stop(self) -> None:
+        """Close the port and the connections."""
+        self.shut()
+        if self._sweeper:
+            self._sweeper.cancel()
+
     async def handle(self, exchange: Exchange) -> None:
         """Run the handler of one exchange."""
         await self._handler(exchange)
--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -1,8 +1,9 @@
 """Which requests an upstream's owner runs, keeps waiting or refuses.
 
-The load it answers: more requests than the upstream's slots can finish before their
-callers give up. Work that would come too late displaces work that would not, so a
-request that cannot finish in time is refused while its caller can still go elsewhere.
+The load it answers: more requests than the upstream's slots can finish within their
+latency objectives. Work that comes too late displaces work that would not, so a
+request that would lose its objective in the queue is refused at once, while its caller
+can still go elsewhere or come back. Requests that have lost it already run in the gaps.
 """
 
 __all__ = ["Admission", "Job", "Refusal"]
@@ -20,9 +21,15 @@
 LEAST_SHARE = 0.5
 # Shortest and longest time that a caller is told to stay away, in seconds.
 LEAST_RETRY_S, MOST_RETRY_S = 0.05, 2.0
-# Part of the time to the deadline that may be spent waiting: the rest is left for
-# another attempt elsewhere.
-WAIT_SHARE = 0.8
+# The same for a request that can still be on time. Service times vary, so one that
+# waits for all of its spare time is late as often as not.
+WAIT_SHARE = 0.5
+# Weight of the newest start in the shares of the ranks, and the highest share that is
+# believed of ranks above a request's own.
+RANK_SMOOTHING, MOST_URGENT = 0.05, 0.8
+# Part of its spare time that a request that is late already may spend waiting: the rest
+# is left for another attempt elsewhere.
+LATE_WAIT_SHARE = 0.25
 
 
 @dataclass(slots=True, eq=False)
@@ -41,6 +48,7 @@
     payload: object = None
     started_at: float = 0.0
     running: bool = False
+    late_on_arrival: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +95,7 @@
         self._queue: list[Job] = []
         self._running: set[Job] = set()
         self._times = _Times()
+        self._started: dict[int, float] = {}
         self.slots = slots
 
     @property
@@ -106,24 +115,32 @@
 
     def offer(self, job: Job, now: float) -> Refusal | None:
         """Take a job in, or return why not; :meth:`next` says which one to run."""
-        wait = self._wait_before(job)
+        job.late_on_arrival = self._is_late(job, now)
+        wait = self._wait_before(job, now)
         usual = self._times.of(job.route)
-        left = job.deadline_at - now
-        if left < LEAST_SHARE * usual or wait > 0 and wait + usual > WAIT_SHARE * left:
+        if job.deadline_at - now < LEAST_SHARE * usual or wait > self._patience(
+            job, now
+        ):
             return Refusal(ErrorKind.OVERLOADED, self._retry_after(wait))
         self._queue.append(job)
         return None
 
     def next(self, now: float) -> Job | None:
         """Return the job to start now, ``None`` if no slot is free or none waits."""
-        self.expire(now)
-        if not self._queue or len(self._running) >= self.slots:
-            return None
-        job = min(self._queue, key=lambda item: self._rank(item, now))
-        self._queue.remove(job)
+        while self._queue and len(self._running) < self.slots:
+            job = min(self._queue, key=lambda item: self._rank(item, now))
+            if self._is_hopeless(job, now):
+                self._drop(job, now)
+                continue
+            self._queue.remove(job)
+            self._begin(job, now)
+            return job
+        return None
+
+    def _begin(self, job: Job, now: float) -> None:
         job.running, job.started_at = True, now
         self._running.add(job)
-        return job
+        self._note_start(job.priority)
 
     def finish(self, job: Job, now: float, measured: bool) -> None:
         """Free the slot of a job.
@@ -142,22 +159,60 @@
         return False
 
     def expire(self, now: float) -> None:
-        """Refuse the waiting jobs that could no longer finish in time."""
+        """Refuse the waiting jobs that could no longer finish in time.
+
+        A job that has become late in the queue is refused too if others would run
+        before it: they take the slots for as long as more come than can be served.
+        """
+        if not self._queue:
+            return
+        first = min(self._rank(item, now) for item in self._queue)
         for job in list(self._queue):
-            if job.deadline_at - now < LEAST_SHARE * self._times.of(job.route):
-                self._queue.remove(job)
-                wait = self._wait_before(job)
-                self._refuse(job, Refusal(ErrorKind.EXPIRED, self._retry_after(wait)))
+            displaced = (
+                not job.late_on_arrival
+                and self._is_late(job, now)
+                and self._rank(job, now) > first
+            )
+            if displaced or self._is_hopeless(job, now):
+                self._drop(job, now)
+
+    def _drop(self, job: Job, now: float) -> None:
+        self._queue.remove(job)
+        wait = self._wait_before(job, now)
+        self._refuse(job, Refusal(ErrorKind.EXPIRED, self._retry_after(wait)))
+
+    def _is_hopeless(self, job: Job, now: float) -> bool:
+        return job.deadline_at - now < LEAST_SHARE * self._times.of(job.route)
+
+    def _note_start(self, priority: int) -> None:
+        """Follow which share of the slots goes to each rank."""
+        self._started.setdefault(priority, 0.0)
+        for rank, share in self._started.items():
+            self._started[rank] = share + RANK_SMOOTHING * ((rank == priority) - share)
+
+    def _is_late(self, job: Job, now: float) -> bool:
+        return job.objective_at - now < self._times.of(job.route)
+
+    def _patience(self, job: Job, now: float) -> float:
+        """Return the longest wait that is worth while for a new job, in seconds."""
+        usual = self._times.of(job.route)
+        if job.late_on_arrival:
+            return LATE_WAIT_SHARE * max(0.0, job.deadline_at - now - usual)
+        return WAIT_SHARE * (job.objective_at - now - usual)
 
     def _rank(self, job: Job, now: float) -> tuple[int, bool, float]:
-        late = job.objective_at - now < self._times.of(job.route)
+        late = self._is_late(job, now)
         return job.priority, late, job.deadline_at if late else job.objective_at
 
-    def _wait_before(self, job: Job) -> float:
-        """Return the expected wait of a new job behind those of its rank or above."""
-        ahead = sum(1 for item in self._queue if item.priority <= job.priority)
-        excess = len(self._running) + ahead + 1 - self.slots
-        return max(0, excess) * self._times.overall / max(1, self.slots)
+    def _wait_before(self, job: Job, now: float) -> float:
+        """Return the expected wait of a new job behind those that go first."""
+        rank = self._rank(job, now)
+        ahead = sum(1 for item in self._queue if self._rank(item, now) <= rank)
+        excess = max(0, len(self._running) + ahead + 1 - self.slots)
+        shares = self._started.items()
+        urgent = sum(share for priority, share in shares if priority < job.priority)
+        pace = max(1, self.slots) * (1 - min(MOST_URGENT, urgent))
+        return excess * self._times.overall / pace
 
     def _retry_after(self, wait: float) -> float:
         return min(MOST_RETRY_S, max(LEAST_RETRY_S, wait))
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -27,9 +27,16 @@
 # breaks off can still be replaced by that of another upstream.
 HOLD_BYTES = 2**20
 # Refusals by owners after which a request is not offered to further ones.
-MAX_MOVES = 4
+MAX_MOVES = 3
 # Time that the node keeps for its own answer before the deadline, in seconds.
 ANSWER_MARGIN_S = 0.005
+# Time before that at which an owner must have answered or refused, in seconds.
+OWNER_MARGIN_S = 0.01
+# Share of the longest time that callers of a route wait below which a request is taken
+# for one that was refused before and has come back.
+RETURNED_SHARE = 0.9
+# Weight of the newest answer in the moving average of a route's answer sizes.
+SMOOTHING = 0.05
 # Seconds that a caller is told to stay away if nothing better is known.
 RETRY_AFTER_S = 0.1
 # Shortest time in which another attempt can succeed, as a share of the usual one.
@@ -37,6 +44,9 @@
 # Seconds for which an upstream is avoided after its owner could not be reached.
 BAR_S = 1.0
 SERVER_ERROR = 500
+# Repeats that another try after an error of the upstream costs: its calls may have
+# failed, and would fail again.
+ERROR_COST = 3
 HIGHEST_DEADLINE_S = 3600.0
 
 # Failures that say nothing against the upstream's instance.
@@ -57,6 +67,7 @@
     route: Route
     service: str
     deadline: float
+    objective: float
     tried: list[str] = field(default_factory=list)
     attempts: list[dict] = field(default_factory=list)
     offered: int = 0
@@ -101,7 +112,10 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._shares: dict[tuple[str, str], list[float]] = {}
         self._server = Server(self._handle, address.host, address.port)
-        self._hosts: dict[str, list[str]] = {}
+        # Longest time that callers of a route wait, and mean size of its answers.
+        self._longest: dict[str, float] = {}
+        self._sizes: dict[str, float] = {}
+        self._ends_at = float("inf")
         self.in_flight = 0
         knowledge.on_document.append(lambda document: self._limit(document.limits))
         knowledge.on_registry.append(
@@ -117,9 +131,18 @@
         """Close the port and the connections."""
         await self._server.stop()
 
-    def leave(self) -> None:
-        """Ask callers to open no more requests on their connections."""
+    def leave(self, ends_at: float) -> None:
+        """Ask callers to open no more requests on their connections.
+
+        :param ends_at: loop time after which no answer can be given; a request that may
+            last longer is refused.
+        """
         self._server.closing = True
+        self._ends_at = ends_at
+
+    def shut(self) -> None:
+        """Read no more requests; those that were read are answered."""
+        self._server.shut()
 
     def _limit(self, limits: Limits) -> None:
         own = self._server.limits
@@ -173,10 +196,27 @@
             route,
             self._choose_service(route),
             request.arrived + min(left, route.timeout_s) - ANSWER_MARGIN_S,
+            request.arrived + route.objective_s - self._waited(route, left),
         )
-        self._budget(course.service).note_request(asyncio.get_running_loop().time())
+        if course.deadline > self._ends_at:
+            self._refuse(exchange, request_id, ErrorKind.LEAVING, RETRY_AFTER_S)
+            self._recorder.request(
+                course, 503, str(ErrorKind.LEAVING), Outcome.NOT_RUN, True
+            )
+            return
+        now = asyncio.get_running_loop().time()
+        self._budget(course.service).note_request(route.name, now)
         await self._run(exchange, course)
 
+    def _waited(self, route: Route, left: float) -> float:
+        """Return how long ago a caller that has come back sent its request first.
+
+        It has less time left than callers of the route have at first.
+        """
+        longest = max(left, self._longest.get(route.name, 0.0))
+        self._longest[route.name] = longest
+        return longest - left if left < RETURNED_SHARE * longest else 0.0
+
     def _choose_service(self, route: Route) -> str:
         """Return a destination, so that each gets its share of the route's requests.
 
@@ -218,7 +258,18 @@
         if course.deadline <= now:
             return None
         known = self._knowledge.of_service(course.service)
-        return self._placer.pick(known, course.tried, course.route.objective_s, now)
+        reachable = [
+            item
+            for item in known
+            if item.id not in course.tried and self._peers.reachable(item.address.host)
+        ]
+        return self._placer.pick(
+            reachable or known,
+            course.tried,
+            course.route.objective_s,
+            now,
+            self._sizes.get(course.route.name, 0.0),
+        )
 
     async def _attempt(
         self, exchange: Exchange, course: Course, upstream: Upstream
@@ -267,8 +318,8 @@
             request_id=course.request_id,
             upstream=upstream.id,
             host=upstream.address.host,
-            deadline=course.deadline,
-            objective=request.arrived + route.objective_s,
+            deadline=course.deadline - OWNER_MARGIN_S,
+            objective=course.objective,
             priority=route.priority,
             repeatable=route.repeatable,
             route=route.name,
@@ -294,6 +345,9 @@
         failure = reply.failure
         if failure is None:
             course.offered += 1
+            known = self._sizes.get(course.route.name, float(reply.size))
+            size = known + SMOOTHING * (reply.size - known)
+            self._sizes[course.route.name] = size
             note["outcome"], note["status"] = str(Outcome.RAN), reply.status
             if reply.status >= SERVER_ERROR:
                 self._placer.failed(upstream, now)
@@ -329,7 +383,8 @@
         wait, service = self._placer.expected(upstream, now)
         if course.deadline - now < wait + LEAST_SHARE * service:
             return False
-        return self._budget(course.service).take(now)
+        cost = 1 if failure is not None else ERROR_COST
+        return self._budget(course.service).take(route.name, now, cost)
 
     def _budget(self, service: str) -> RetryBudget:
         if service not in self._budgets:
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -33,6 +33,7 @@
     :param slots: requests that may be at work at once.
     :param service_ms: time that the upstream takes for a request, in milliseconds.
     :param accepting: whether new requests are taken at all.
+    :param failing: share of recent requests that the upstream turned away or failed.
     """
 
     running: int
@@ -40,6 +41,7 @@
     slots: int
     service_ms: float
     accepting: bool
+    failing: float
 
 
 class Hello(Struct, tag=1, array_like=True):
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -38,6 +38,9 @@
 GRACE_MARGIN_S = 0.4
 # Period of the check for the end of requests while leaving, in seconds.
 IDLE_CHECK_S = 0.05
+# Seconds without a request after which the node ends, so that callers have read their
+# last answers before their connections are reset.
+SETTLE_S = 0.2
 # Period of the look at the settings file and at suspension, in seconds.
 WATCH_S = 0.5
 # Seconds of standing still after which nothing known about peers counts any more.
@@ -183,17 +186,24 @@
         self.leaving = True
         owner, entry = kernel.get("owner"), kernel.get("entry")
         self._log.event("leaving", "node is leaving", in_flight=entry.in_flight)
-        entry.leave()
+        quiet_since = began
+        latest = self._settings.bounds.grace_s - GRACE_MARGIN_S
+        entry.leave(began + latest - SETTLE_S)
         owner.leaving = True
         kernel.get("peers").tell_load()
-        latest = self._settings.bounds.grace_s - GRACE_MARGIN_S
         while (spent := loop.time() - began) < latest:
-            if spent > LEAVE_S and owner.idle and not entry.in_flight:
+            if not owner.idle or entry.in_flight:
+                quiet_since = loop.time()
+            quiet = loop.time() - quiet_since > IDLE_CHECK_S
+            if spent > LEAVE_S and quiet or spent > latest - SETTLE_S:
+                entry.shut()
+            if spent > LEAVE_S and loop.time() - quiet_since > SETTLE_S:
                 return
             await asyncio.sleep(IDLE_CHECK_S)
-        self._log.event(
-            "cut", "requests are left at the end", in_flight=entry.in_flight
-        )
+        if entry.in_flight or not owner.idle:
+            self._log.event(
+                "cut", "requests are left at the end", in_flight=entry.in_flight
+            )
 
     def _reload(self) -> None:
         """Read the settings file again; what listens stays as it is."""
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -14,7 +14,7 @@
 )
 from ragwortferry.http1.messages import encode_request, end_to_end, find
 from ragwortferry.logs import Log
-from ragwortferry.mesh.admission import Admission, Job, Refusal
+from ragwortferry.mesh.admission import SMOOTHING, Admission, Job, Refusal
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
 from ragwortferry.mesh.frames import Load
 from ragwortferry.mesh.knowledge import Knowledge
@@ -76,6 +76,7 @@
         self._admission = Admission(FIRST_SLOTS, self._expired)
         self._runs: dict[int, Run] = {}
         self._down_until = 0.0
+        self._failing = 0.0
         self._ticker: asyncio.Task | None = None
         self.leaving = False
         self.refused = 0
@@ -106,6 +107,7 @@
             admission.slots,
             service_ms,
             accepting,
+            round(self._failing, 3),
         )
 
     async def start(self) -> None:
@@ -197,6 +199,7 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_S)
+            self._admission.expire(asyncio.get_running_loop().time())
             self._start_next()
 
     async def _run(self, run: Run) -> None:
@@ -207,6 +210,8 @@
             await self._exchange(run, exchange)
             measured = exchange.ended and exchange.ran
             self.ran += exchange.ran
+            bad = exchange.failure is not None or not exchange.ended
+            self._failing += SMOOTHING * (bad - self._failing)
         except asyncio.CancelledError:
             if not run.abandoned:
                 raise
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -35,10 +35,10 @@
 # Seconds between signs of life on a link that carries nothing.
 IDLE_PING_S = 1.0
 # Seconds between them while attempts wait for an answer.
-BUSY_PING_S = 0.15
+BUSY_PING_S = 0.1
 # Seconds of silence after which a link with waiting attempts is given up; below any
 # route's timeout, so that a repeatable request can still be served elsewhere.
-BUSY_SILENCE_S = 0.6
+BUSY_SILENCE_S = 0.4
 # Seconds of silence after which an idle link is given up.
 IDLE_SILENCE_S = 3.0
 # Period of the check of all links, in seconds.
@@ -76,6 +76,8 @@
         self.asked_at = NEVER
         self.task: asyncio.Task | None = None
         self.linked = asyncio.Event()
+        # Whether the last try to reach it failed, or its link was lost.
+        self.failing = False
         self.wanted = True
 
 
@@ -181,15 +183,15 @@
         for link in self.links:
             link.close("stopping")
 
-    def linked(self, host: str) -> bool:
-        """Return whether a link to an instance is open."""
+    def reachable(self, host: str) -> bool:
+        """Return whether a link to an instance is open or may soon be."""
         peer = self._peers.get(host)
-        return peer is not None and peer.link is not None
+        return peer is None or peer.link is not None or not peer.failing
 
     async def send(self, attempt: Attempt, reply: Reply) -> None:
         """Send an attempt to the owner of its upstream."""
         peer = self._peer(attempt.host)
-        if peer.link is None:
+        if peer.link is None and not peer.failing:
             left = attempt.deadline - asyncio.get_running_loop().time()
             try:
                 async with asyncio.timeout(min(LINK_WAIT_S, max(0.0, left))):
@@ -257,12 +259,13 @@
                         lambda: Link(self, True, peer.address.host), sock=sock
                     )
             except (OSError, TimeoutError):
+                peer.failing = True
                 await asyncio.sleep(backoff.next_delay())
                 continue
             if link.closed:
                 await asyncio.sleep(backoff.next_delay())
                 continue
-            peer.link, peer.asked_at = link, NEVER
+            peer.link, peer.asked_at, peer.failing = link, NEVER, False
             peer.linked.set()
             backoff.reset()
             while not link.closed and peer.wanted:
@@ -298,7 +301,7 @@
         peer = self._peers.get(link.host)
         if peer is None or peer.link is not link:
             return
-        peer.link = None
+        peer.link, peer.failing = None, True
         peer.linked.clear()
         self._log.event("link-lost", "link is lost", peer=link.host, reason=reason)
         waiting, peer.waiting = peer.waiting, {}
--- a/ragwortferry/mesh/placing.py
+++ b/ragwortferry/mesh/placing.py
@@ -19,15 +19,21 @@
 SMOOTHING = 0.1
 # Time that an upstream is assumed to take before anything is known, in seconds.
 FIRST_SERVICE_S = 0.1
-# How much longer the other zone must make an answer faster to be preferred, as a share
-# of the latency objective; the way there and back is far shorter.
-ZONE_PENALTY = 0.12
+# Cost of the way to another zone and back, as a share of the latency objective.
+ZONE_PENALTY = 0.03
+# Further cost for each byte of an answer from another zone, as a share of the
+# objective: the bandwidth between zones is dear, and an export would fill it.
+BYTE_PENALTY = 0.6 / 90_000
+# Highest cost of the bytes of one answer: a late answer from the own zone is worse.
+MOST_BYTE_PENALTY = 0.6
 # Factor on the time of an upstream that has just started.
 COLD_FACTOR = 2.0
 # Seconds for which a failure counts against an upstream.
 FAILURE_MEMORY_S = 2.0
 # Weight of recent failures, as a share of the latency objective.
 FAILURE_PENALTY = 0.5
+# Cost of an upstream all of whose recent requests failed, by its owner's report.
+FAILING_PENALTY = 2.0
 # Seconds after which a report says nothing any more and a neutral value is used.
 REPORT_LIFE_S = 5.0
 # Upstreams that are compared at most: more would cost time and gain little.
@@ -84,44 +90,65 @@
         without: Collection[str],
         objective_s: float,
         now: float,
+        answer_bytes: float = 0.0,
     ) -> Upstream | None:
         """Return the upstream with the least expected cost, ``None`` if there is none.
 
         :param without: ids that were tried already.
         :param objective_s: latency objective of the request.
+        :param answer_bytes: expected size of the answer.
         """
+        share = min(MOST_BYTE_PENALTY, BYTE_PENALTY * answer_bytes)
+        zone_cost = (ZONE_PENALTY + share) * objective_s
+        typical = self._typical(upstreams, now)
         open_ones = [item for item in upstreams if item.id not in without]
         if len(open_ones) > MAX_COMPARED:
             open_ones = self._sample(open_ones)
         usable = [u for u in open_ones if self.view(u, now).barred_until <= now]
         best, best_cost = None, float("inf")
         for item in usable or open_ones:
-            cost = self.cost(item, objective_s, now)
+            cost = self.cost(item, objective_s, now, typical)
+            if item.zone != self._zone:
+                cost += zone_cost
             if cost < best_cost:
                 best, best_cost = item, cost
         return best
 
-    def cost(self, upstream: Upstream, objective_s: float, now: float) -> float:
-        """Return the expected time of a request there, with penalties, in seconds."""
+    def _typical(self, upstreams: Collection[Upstream], now: float) -> float:
+        """Return the mean time that the upstreams report, in seconds."""
+        loads = [self.view(item, now).load for item in upstreams]
+        times = [load.service_ms / 1000 for load in loads if load]
+        return sum(times) / len(times) if times else FIRST_SERVICE_S
+
+    def cost(
+        self, upstream: Upstream, objective_s: float, now: float, typical: float
+    ) -> float:
+        """Return the expected time of a request there, with penalties, in seconds.
+
+        :param typical: mean time of the service's upstreams.
+        """
         view = self.view(upstream, now)
-        wait, service = self.expected(upstream, now)
+        wait, service = self.expected(upstream, now, typical)
         cost = wait + service
-        if upstream.zone != self._zone:
-            cost += ZONE_PENALTY * objective_s
+        if view.load is not None:
+            fading = max(0.0, 1 - (now - view.load_at) / FAILURE_MEMORY_S)
+            cost += FAILING_PENALTY * objective_s * view.load.failing * fading
         age = now - view.failed_at
         if age < FAILURE_MEMORY_S:
             fading = 1 - age / FAILURE_MEMORY_S
             cost += FAILURE_PENALTY * objective_s * view.failures * fading
         return cost + self._rng.uniform(0, 0.02) * objective_s
 
-    def expected(self, upstream: Upstream, now: float) -> tuple[float, float]:
+    def expected(
+        self, upstream: Upstream, now: float, typical: float = FIRST_SERVICE_S
+    ) -> tuple[float, float]:
         """Return the expected wait and service time at an upstream, in seconds."""
         view = self.view(upstream, now)
         load = view.load if now - view.load_at < REPORT_LIFE_S else None
         slots = load.slots if load else upstream.slots
-        service = load.service_ms / 1000 if load else FIRST_SERVICE_S
-        if now - view.known_since < view.cold_s and load is None:
-            service *= COLD_FACTOR
+        service = load.service_ms / 1000 if load else typical
+        if now - view.known_since < view.cold_s:
+            service = max(service, COLD_FACTOR * typical)
         known = load.running + load.queued if load else 0
         busy = max(view.sent, known + view.sent - view.sent_then)
         excess = max(0, busy + 1 - slots)
--- a/ragwortferry/mesh/tests/test_nodes.py
+++ b/ragwortferry/mesh/tests/test_nodes.py
@@ -285,6 +285,32 @@
     play(scenario)
 
 
+def test_leaving_node_refuses_what_it_could_not_finish(play):
+    async def scenario(mesh):
+        leaving = mesh.machines[0]
+        for machine in mesh.machines:
+            machine.upstream.work_s = 0.9
+        end = asyncio.create_task(mesh.end(leaving))
+        statuses = []
+
+        async def caller(number):
+            for step in itertools.count():
+                name = f"r{number}-{step}"
+                status, _, _ = await mesh.ask(leaving, "/panels/1", name)
+                statuses.append(status)
+                assert status in (200, 503, 0)
+                assert mesh.runs(name) == (status == 200)
+                if status == 0 or end.done():
+                    return
+
+        await asyncio.gather(*(caller(number) for number in range(4)))
+        assert await end == 0
+        assert not mesh.lines(leaving, "cut")
+        assert statuses.count(200) > 4
+
+    play(scenario)
+
+
 def test_registry_survives_entries_that_name_no_upstream(play):
     async def scenario(mesh):
         await mesh.store.put("servers/i-odd", b"\xff\x00")
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -68,6 +68,7 @@
         "slots": 4,
         "service_ms": 100.0,
         "accepting": True,
+        "failing": 0.0,
     }
     return Load(**{**values, **changes})
 
