Reach a restarted peer at once, say ready only after every peer was dialed

Ruled out: nothing but the order of starts is needed; load only makes it likely. Change: a peer that dials this node is dialed back at once; ready needs one try of each peer; a request waits for a link only while its loss is fresh. The scenarios wait for links.

--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -167,7 +167,8 @@
         if exchange.request.path != READY_PATH:
             exchange.respond(NOT_FOUND, [])
         else:
-            ready = knowledge.ready and not self.leaving
+            tried = self._kernel.get("peers").tried
+            ready = knowledge.ready and tried and not self.leaving
             exchange.respond(OK if ready else UNAVAILABLE, [])
 
     async def _page(self, exchange: Exchange) -> None:
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -76,8 +76,21 @@
         self.asked_at = NEVER
         self.task: asyncio.Task | None = None
         self.linked = asyncio.Event()
-        # Whether the last try to reach it failed, or its link was lost.
-        self.failing = False
+        # Since when it cannot be reached, if its last try failed or its link was lost.
+        self.failing_since = NEVER
+        self.tried = False
+        # Set by a sign that it can be reached again.
+        self.hinted = asyncio.Event()
+
+    @property
+    def failing(self) -> bool:
+        """Return whether it could not be reached last."""
+        return self.failing_since is not NEVER
+
+    def fail(self, now: float) -> None:
+        """Note that it cannot be reached."""
+        self.tried = True
+        self.failing_since = min(self.failing_since, now)
         self.wanted = True
 
 
@@ -183,6 +196,11 @@
         for link in self.links:
             link.close("stopping")
 
+    @property
+    def tried(self) -> bool:
+        """Return whether each peer was dialed once, with success or without."""
+        return all(peer.tried for peer in self._peers.values())
+
     def reachable(self, host: str) -> bool:
         """Return whether a link to an instance is open or may soon be."""
         peer = self._peers.get(host)
@@ -191,8 +209,11 @@
     async def send(self, attempt: Attempt, reply: Reply) -> None:
         """Send an attempt to the owner of its upstream."""
         peer = self._peer(attempt.host)
-        if peer.link is None and not peer.failing:
-            left = attempt.deadline - asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        if peer.link is None and (
+            not peer.failing or now - peer.failing_since < LINK_WAIT_S
+        ):
+            left = attempt.deadline - now
             try:
                 async with asyncio.timeout(min(LINK_WAIT_S, max(0.0, left))):
                     await peer.linked.wait()
@@ -259,13 +280,14 @@
                         lambda: Link(self, True, peer.address.host), sock=sock
                     )
             except (OSError, TimeoutError):
-                peer.failing = True
-                await asyncio.sleep(backoff.next_delay())
+                peer.fail(loop.time())
+                await self._pause(peer, backoff.next_delay())
                 continue
             if link.closed:
-                await asyncio.sleep(backoff.next_delay())
+                await self._pause(peer, backoff.next_delay())
                 continue
-            peer.link, peer.asked_at, peer.failing = link, NEVER, False
+            peer.link, peer.asked_at, peer.failing_since = link, NEVER, NEVER
+            peer.tried = True
             peer.linked.set()
             backoff.reset()
             while not link.closed and peer.wanted:
@@ -277,6 +299,21 @@
         if not peer.waiting and self._peers.get(peer.address.host) is peer:
             del self._peers[peer.address.host]
 
+    async def _pause(self, peer: _Peer, seconds: float) -> None:
+        """Wait before the next try, no longer than until the peer shows itself."""
+        peer.hinted.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await peer.hinted.wait()
+        except TimeoutError:
+            pass
+
+    def _hint(self, link: Link) -> None:
+        """Dial a peer at once that has just dialed this node."""
+        peer = self._peers.get(link.host)
+        if not link.dialed and peer is not None:
+            peer.hinted.set()
+
     def link_made(self, link: Link) -> None:
         """Greet the peer."""
         knowledge = self._knowledge
@@ -301,7 +338,8 @@
         peer = self._peers.get(link.host)
         if peer is None or peer.link is not link:
             return
-        peer.link, peer.failing = None, True
+        peer.link = None
+        peer.fail(asyncio.get_running_loop().time())
         peer.linked.clear()
         self._log.event("link-lost", "link is lost", peer=link.host, reason=reason)
         waiting, peer.waiting = peer.waiting, {}
@@ -335,6 +373,7 @@
             case Hello():
                 link.host, link.zone = frame.host, frame.zone
                 link.relays = frame.relays
+                self._hint(link)
                 self._relay.greeted(link, frame.version, frame.revision)
             case Ping():
                 self._relay.heard(link, frame.version, frame.revision)
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -18,6 +18,7 @@
 from standins.upstream import UpstreamStandin
 
 STORE_PORT = 18142
+METRICS_PORT = 9464
 UPSTREAM_PORT, CALLERS_PORT, READY_PORT, LINK_PORT = 18147, 18141, 18140, 18145
 STORE_HOST_NUMBER = 250
 POLL_S = 0.02
@@ -157,15 +158,27 @@
         return await self.store.put("op/config", json.dumps(config).encode())
 
     async def ready(self, *machines: Machine) -> None:
-        """Wait until nodes say that they are ready, all if none is given."""
+        """Wait until nodes are ready and linked to all others, all if none is given."""
         for machine in machines or self.machines:
-            url = f"http://{machine.host}:{READY_PORT}/-/ready"
-            while True:
-                with contextlib.suppress(aiohttp.ClientError):
-                    async with self.session.get(url) as answer:
-                        if answer.status == 200:
-                            break
+            while await self.page(machine, READY_PORT, "/-/ready") is None:
                 await asyncio.sleep(POLL_S)
+        links = f"ragwortferry_links {len(self.machines) - 1}\n"
+        for machine in machines or self.machines:
+            while links not in (await self.metrics(machine)):
+                await asyncio.sleep(POLL_S)
+
+    async def metrics(self, machine: Machine) -> str:
+        """Return the metrics of a node as text."""
+        return await self.page(machine, METRICS_PORT, "/metrics") or ""
+
+    async def page(self, machine: Machine, port: int, path: str) -> str | None:
+        """Return the text of a page, ``None`` without a good answer."""
+        with contextlib.suppress(aiohttp.ClientError):
+            url = f"http://{machine.host}:{port}{path}"
+            async with self.session.get(url) as answer:
+                if answer.status == 200:
+                    return await answer.text()
+        return None
 
     async def ask(
         self, machine: Machine, path: str, request_id: str, **options
