Report waits by rank, count cut runs, probe slow upstreams

Four upstreams slowed twelvefold took 18 requests a second each and finished two. Watches pause 0.3 s after changes and wait 8 s.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -18,7 +18,12 @@
 # Service time assumed before the first measurement, in seconds.
 FIRST_SERVICE_S = 0.1
 # Share of the usual service time without which a request is not started.
-LEAST_SHARE = 0.5
+LEAST_SHARE = 0.8
+# Factor on the time of a run that was cut at its deadline: it would have lasted longer.
+CUT_FACTOR = 1.5
+# Seconds between requests that are let through to an upstream that has become too slow,
+# to see whether it still is.
+PROBE_S = 0.25
 # Shortest and longest time that a caller is told to stay away, in seconds.
 LEAST_RETRY_S, MOST_RETRY_S = 0.05, 2.0
 # The same for a request that can still be on time. Service times vary, so one that
@@ -27,6 +32,8 @@
 # Weight of the newest start in the shares of the ranks, and the highest share that is
 # believed of ranks above a request's own.
 RANK_SMOOTHING, MOST_URGENT = 0.05, 0.8
+# A time in the future that is later than any objective, in seconds.
+FAR_S = 3600.0
 # Part of its spare time that a request that is late already may spend waiting: the rest
 # is left for another attempt elsewhere.
 LATE_WAIT_SHARE = 0.25
@@ -47,8 +54,10 @@
     deadline_at: float
     payload: object = None
     started_at: float = 0.0
+    repeatable: bool = False
     running: bool = False
     late_on_arrival: bool = False
+    probe: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +105,7 @@
         self._running: set[Job] = set()
         self._times = _Times()
         self._started: dict[int, float] = {}
+        self._probed_at = -PROBE_S
         self.slots = slots
 
     @property
@@ -117,10 +127,9 @@
         """Take a job in, or return why not; :meth:`next` says which one to run."""
         job.late_on_arrival = self._is_late(job, now)
         wait = self._wait_before(job, now)
-        usual = self._times.of(job.route)
-        if job.deadline_at - now < LEAST_SHARE * usual or wait > self._patience(
-            job, now
-        ):
+        if self._is_hopeless(job, now) and wait == 0:
+            job.probe = self._may_probe(job, now)
+        if self._is_hopeless(job, now) or wait > self._patience(job, now):
             return Refusal(ErrorKind.OVERLOADED, self._retry_after(wait))
         self._queue.append(job)
         return None
@@ -142,14 +151,16 @@
         self._running.add(job)
         self._note_start(job.priority)
 
-    def finish(self, job: Job, now: float, measured: bool) -> None:
+    def finish(self, job: Job, now: float, measured: bool, cut: bool = False) -> None:
         """Free the slot of a job.
 
         :param measured: whether its time says something about the upstream.
+        :param cut: whether it was ended by its deadline.
         """
         self._running.discard(job)
-        if measured:
-            self._times.note(job.route, now - job.started_at)
+        if measured or cut:
+            took = now - job.started_at
+            self._times.note(job.route, CUT_FACTOR * took if cut else took)
 
     def withdraw(self, job: Job) -> bool:
         """Take a waiting job out and return whether it was waiting."""
@@ -181,7 +192,24 @@
         wait = self._wait_before(job, now)
         self._refuse(job, Refusal(ErrorKind.EXPIRED, self._retry_after(wait)))
 
+    def _may_probe(self, job: Job, now: float) -> bool:
+        """Return whether a request may find out if a slow upstream is still slow."""
+        if not job.repeatable or now - self._probed_at < PROBE_S:
+            return False
+        self._probed_at = now
+        return True
+
+    def waits(self, now: float) -> dict[int, float]:
+        """Return the expected wait of a new request of each rank, in seconds."""
+        waits = {}
+        for priority in self._started:
+            job = Job("", priority, now + FAR_S, now + FAR_S)
+            waits[priority] = self._wait_before(job, now)
+        return waits
+
     def _is_hopeless(self, job: Job, now: float) -> bool:
+        if job.probe:
+            return job.deadline_at <= now
         return job.deadline_at - now < LEAST_SHARE * self._times.of(job.route)
 
     def _note_start(self, priority: int) -> None:
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -269,6 +269,7 @@
             course.route.objective_s,
             now,
             self._sizes.get(course.route.name, 0.0),
+            course.route.priority,
         )
 
     async def _attempt(
@@ -380,7 +381,7 @@
         upstream = self._pick(course, now)
         if upstream is None:
             return False
-        wait, service = self._placer.expected(upstream, now)
+        wait, service = self._placer.expected(upstream, now, priority=route.priority)
         if course.deadline - now < wait + LEAST_SHARE * service:
             return False
         cost = 1 if failure is not None else ERROR_COST
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -33,6 +33,7 @@
     :param slots: requests that may be at work at once.
     :param service_ms: time that the upstream takes for a request, in milliseconds.
     :param accepting: whether new requests are taken at all.
+    :param waits_ms: expected wait of a new request by its rank, in milliseconds.
     :param failing: share of recent requests that the upstream turned away or failed.
     """
 
@@ -42,6 +43,7 @@
     service_ms: float
     accepting: bool
     failing: float
+    waits_ms: dict[int, float]
 
 
 class Hello(Struct, tag=1, array_like=True):
--- a/ragwortferry/mesh/knowledge.py
+++ b/ragwortferry/mesh/knowledge.py
@@ -124,6 +124,7 @@
             digest=document.digest,
             before=before,
             origin=origin,
+            routes=sum(len(routes) for routes in document.hosts.values()),
         )
         for callback in self.on_document:
             callback(document)
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -45,7 +45,7 @@
 DOWN_S = 0.2
 # Seconds that a caller is told to stay away from an upstream that cannot be reached.
 DOWN_RETRY_S = 0.3
-TOO_BUSY, MISDIRECTED = 503, 421
+MISDIRECTED, SERVER_ERROR, GATEWAY_TIMEOUT = 421, 500, 504
 NOT_RUN_STATUSES = (400, 421, 429, 503)
 
 
@@ -100,6 +100,7 @@
             and not self.leaving
             and asyncio.get_running_loop().time() >= self._down_until
         )
+        waits = admission.waits(asyncio.get_running_loop().time())
         service_ms = round(admission.service_s * 1000, 1)
         return Load(
             admission.running,
@@ -108,6 +109,7 @@
             service_ms,
             accepting,
             round(self._failing, 3),
+            {rank: round(wait * 1000, 1) for rank, wait in waits.items()},
         )
 
     async def start(self) -> None:
@@ -127,7 +129,13 @@
     def submit(self, attempt: Attempt, sink: ReplySink) -> Run | None:
         """Take an attempt in; its answer or refusal goes to ``sink``."""
         now = asyncio.get_running_loop().time()
-        job = Job(attempt.route, attempt.priority, attempt.objective, attempt.deadline)
+        job = Job(
+            attempt.route,
+            attempt.priority,
+            attempt.objective,
+            attempt.deadline,
+            repeatable=attempt.repeatable,
+        )
         run = Run(attempt, sink, job)
         job.payload = run
         failure = self._unfit(attempt, now)
@@ -205,18 +213,19 @@
     async def _run(self, run: Run) -> None:
         loop = asyncio.get_running_loop()
         exchange = _Exchange(run)
-        measured = False
+        measured = cut = False
         try:
             await self._exchange(run, exchange)
-            measured = exchange.ended and exchange.ran
+            measured = exchange.ended and exchange.ran and not exchange.failed
+            cut = exchange.cut
             self.ran += exchange.ran
-            bad = exchange.failure is not None or not exchange.ended
+            bad = exchange.failed or not exchange.ended
             self._failing += SMOOTHING * (bad - self._failing)
         except asyncio.CancelledError:
             if not run.abandoned:
                 raise
         finally:
-            self._admission.finish(run.job, loop.time(), measured)
+            self._admission.finish(run.job, loop.time(), measured, cut)
             self._runs.pop(id(run), None)
             self._start_next()
 
@@ -259,6 +268,7 @@
             async with asyncio.timeout(left + ANSWER_MARGIN_S):
                 await exchange.done
         except TimeoutError:
+            exchange.cut = True
             detail = "the upstream did not answer in time"
             return _unknown(ErrorKind.UPSTREAM_SILENT, detail)
         except ConnectionBrokenError as error:
@@ -275,6 +285,9 @@
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.ended = False
         self.ran = False
+        # Whether the deadline ended the run.
+        self.cut = False
+        self.failed = False
         self.failure: Failure | None = None
 
     def accepts(self, head: AnswerHead) -> bool:
@@ -296,8 +309,11 @@
             other = find(head.headers, HEALTH_INSTANCE_HEADER)
             detail = f"the upstream answered {head.status} {other}".rstrip()
             self.failure = Failure(kind, Outcome.NOT_RUN, detail, 0.0, offered=True)
+            self.failed = True
             return
         self.ran = True
+        self.cut = head.status == GATEWAY_TIMEOUT
+        self.failed = head.status >= SERVER_ERROR
         if head.status < 300 and not find(head.headers, SIGNATURE_HEADER):
             detail = "the answer bears no signature"
             self.failure = _unknown(ErrorKind.UPSTREAM_LOST, detail)
--- a/ragwortferry/mesh/placing.py
+++ b/ragwortferry/mesh/placing.py
@@ -32,10 +32,14 @@
 FAILURE_MEMORY_S = 2.0
 # Weight of recent failures, as a share of the latency objective.
 FAILURE_PENALTY = 0.5
+# Failures that are counted at most.
+MOST_FAILURES = 4.0
 # Cost of an upstream all of whose recent requests failed, by its owner's report.
 FAILING_PENALTY = 2.0
 # Seconds after which a report says nothing any more and a neutral value is used.
 REPORT_LIFE_S = 5.0
+# How much longer a full upstream takes than an empty one, as a share.
+CROWDING = 0.3
 # Upstreams that are compared at most: more would cost time and gain little.
 MAX_COMPARED = 24
 
@@ -91,12 +95,14 @@
         objective_s: float,
         now: float,
         answer_bytes: float = 0.0,
+        priority: int = 0,
     ) -> Upstream | None:
         """Return the upstream with the least expected cost, ``None`` if there is none.
 
         :param without: ids that were tried already.
         :param objective_s: latency objective of the request.
         :param answer_bytes: expected size of the answer.
+        :param priority: rank of the request.
         """
         share = min(MOST_BYTE_PENALTY, BYTE_PENALTY * answer_bytes)
         zone_cost = (ZONE_PENALTY + share) * objective_s
@@ -107,7 +113,7 @@
         usable = [u for u in open_ones if self.view(u, now).barred_until <= now]
         best, best_cost = None, float("inf")
         for item in usable or open_ones:
-            cost = self.cost(item, objective_s, now, typical)
+            cost = self.cost(item, objective_s, now, typical, priority)
             if item.zone != self._zone:
                 cost += zone_cost
             if cost < best_cost:
@@ -121,14 +127,19 @@
         return sum(times) / len(times) if times else FIRST_SERVICE_S
 
     def cost(
-        self, upstream: Upstream, objective_s: float, now: float, typical: float
+        self,
+        upstream: Upstream,
+        objective_s: float,
+        now: float,
+        typical: float,
+        priority: int,
     ) -> float:
         """Return the expected time of a request there, with penalties, in seconds.
 
         :param typical: mean time of the service's upstreams.
         """
         view = self.view(upstream, now)
-        wait, service = self.expected(upstream, now, typical)
+        wait, service = self.expected(upstream, now, typical, priority)
         cost = wait + service
         if view.load is not None:
             fading = max(0.0, 1 - (now - view.load_at) / FAILURE_MEMORY_S)
@@ -140,7 +151,11 @@
         return cost + self._rng.uniform(0, 0.02) * objective_s
 
     def expected(
-        self, upstream: Upstream, now: float, typical: float = FIRST_SERVICE_S
+        self,
+        upstream: Upstream,
+        now: float,
+        typical: float = FIRST_SERVICE_S,
+        priority: int = 0,
     ) -> tuple[float, float]:
         """Return the expected wait and service time at an upstream, in seconds."""
         view = self.view(upstream, now)
@@ -150,10 +165,16 @@
         if now - view.known_since < view.cold_s:
             service = max(service, COLD_FACTOR * typical)
         known = load.running + load.queued if load else 0
-        busy = max(view.sent, known + view.sent - view.sent_then)
+        since = max(0, view.sent - view.sent_then)
+        busy = max(view.sent, known + since)
         excess = max(0, busy + 1 - slots)
-        crowding = busy / max(1, slots)
-        return excess * service / max(1, slots), service * (1 + 0.3 * crowding)
+        if load is not None and priority in load.waits_ms:
+            reported = load.waits_ms[priority] / 1000
+            wait = reported + min(since, excess) * service / max(1, slots)
+        else:
+            wait = excess * service / max(1, slots)
+        crowding = min(1.0, busy / max(1, slots))
+        return wait, service * (1 + CROWDING * crowding)
 
     def sent(self, upstream: Upstream, now: float) -> None:
         """Note that a request goes out."""
@@ -179,7 +200,7 @@
         view = self.view(upstream, now)
         age = now - view.failed_at
         faded = view.failures * max(0.0, 1 - age / FAILURE_MEMORY_S)
-        view.failures, view.failed_at = min(4.0, faded + 1), now
+        view.failures, view.failed_at = min(MOST_FAILURES, faded + 1), now
         view.barred_until = max(view.barred_until, now + bar_s)
 
     def _sample(self, upstreams: list[Upstream]) -> list[Upstream]:
--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -23,10 +23,10 @@
 
 # Seconds that a watch waits at the store; also the time after which a store that went
 # silent is noticed.
-WATCH_S = 5.0
+WATCH_S = 8.0
 # Seconds between two watches after one with changes, so that changes in quick
 # succession cost one call.
-PAUSE_S = 0.15
+PAUSE_S = 0.3
 # Bounds of the jittered pause between two tries to reach the store, in seconds.
 FIRST_RETRY_S, MOST_RETRY_S = 0.15, 1.0
 # Period in which a node checks whether it has to read, in seconds.
--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -134,6 +134,61 @@
     assert admission.next(0.1) is fresh
 
 
+def test_upstream_that_became_too_slow_gets_probes_only():
+    admission, running, accepted = Admission(4, lambda job, refusal: None), [], []
+    now = 0.0
+    for step in range(1000):
+        now = step * 0.02
+        while running and running[0].started_at + 0.99 <= now:
+            # The upstream needs two seconds, so its runs are cut at their deadline.
+            admission.finish(running.pop(0), now, False, cut=True)
+        job = _job(now)
+        job.repeatable = True
+        if admission.offer(job, now) is None:
+            accepted.append(now)
+        while (started := admission.next(now)) is not None:
+            running.append(started)
+    assert len([at for at in accepted if at > 5.0]) <= (now - 5.0) / 0.25 + 1
+
+
+def test_upstream_that_is_fast_again_is_found_by_a_probe():
+    admission = Admission(4, lambda job, refusal: None)
+    for step in range(60):
+        job = _job(step * 1.0)
+        job.repeatable = True
+        if admission.offer(job, step * 1.0) is None:
+            admission.next(step * 1.0)
+            slow = step < 20
+            took = 1.0 if slow else 0.1
+            admission.finish(job, step * 1.0 + took, not slow, cut=slow)
+    assert admission.offer(_job(70.0), 70.0) is None
+
+
+def test_payment_is_no_probe():
+    admission = Admission(4, lambda job, refusal: None)
+    for step in range(30):
+        job = _job(step * 1.0)
+        job.repeatable = True
+        if admission.offer(job, step * 1.0) is None:
+            admission.next(step * 1.0)
+            admission.finish(job, step * 1.0 + 1.0, False, cut=True)
+    assert admission.offer(_job(40.0), 40.0) is not None
+
+
+def test_waits_tell_each_rank_apart():
+    admission = Admission(1, lambda job, refusal: None)
+    for number in range(6):
+        admission.offer(
+            _job(0.0, priority=1 + number % 2, objective=5, deadline=9), 0.0
+        )
+    admission.next(0.0)
+    admission.finish(admission._running.copy().pop(), 0.1, True)
+    admission.next(0.1)
+    admission._note_start(2)
+    waits = admission.waits(0.1)
+    assert 0 < waits[1] < waits[2]
+
+
 def test_refusal_says_when_to_return():
     admission = Admission(1, lambda job, refusal: None)
     for _ in range(40):
@@ -266,6 +321,15 @@
     assert placer.pick([near, far], (), 0.5, 0.3, 90_000).id == "far"
 
 
+def test_reported_wait_of_the_own_rank_decides():
+    placer = _placer()
+    one, two = an_upstream("one"), an_upstream("two")
+    placer.reported(one, a_load(running=4, queued=1, waits_ms={1: 0.0, 2: 400.0}), 0.0)
+    placer.reported(two, a_load(running=4, queued=3, waits_ms={1: 60.0, 2: 90.0}), 0.0)
+    assert placer.pick([one, two], (), 0.5, 0.1, priority=1).id == "one"
+    assert placer.pick([one, two], (), 0.5, 0.1, priority=2).id == "two"
+
+
 def test_some_upstream_is_left_when_all_are_barred():
     placer = _placer()
     upstreams = [an_upstream("i-1"), an_upstream("i-2")]
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -69,6 +69,7 @@
         "service_ms": 100.0,
         "accepting": True,
         "failing": 0.0,
+        "waits_ms": {},
     }
     return Load(**{**values, **changes})
 
