Log each attempt at its owner in bounded volume; let go of peers that are gone

Cause: refusals of owners were logged without a bound, attempts that ran not at all, so explain missed the owner's side; reading the links again showed that a lost link made a peer wanted again although its upstream had left the registry. Change: one recorder for entry and owner with a bound on lines; wanted is set only where peers are chosen; waiting for a link has its own function.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -26,17 +26,16 @@
 PROBE_S = 0.25
 # Shortest and longest time that a caller is told to stay away, in seconds.
 LEAST_RETRY_S, MOST_RETRY_S = 0.05, 2.0
-# The same for a request that can still be on time. Service times vary, so one that
-# waits for all of its spare time is late as often as not.
+# Part of its spare time that a request which can still be on time may spend waiting.
+# Service times vary, so one that waits for all of it is late as often as not.
 WAIT_SHARE = 0.5
+# The same for a request that is late already: the rest is left for another attempt.
+LATE_WAIT_SHARE = 0.25
 # Weight of the newest start in the shares of the ranks, and the highest share that is
 # believed of ranks above a request's own.
 RANK_SMOOTHING, MOST_URGENT = 0.05, 0.8
 # A time in the future that is later than any objective, in seconds.
 FAR_S = 3600.0
-# Part of its spare time that a request that is late already may spend waiting: the rest
-# is left for another attempt elsewhere.
-LATE_WAIT_SHARE = 0.25
 
 
 @dataclass(slots=True, eq=False)
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -116,7 +116,12 @@
         )
         owner = kernel.add(
             "owner",
-            Owner(knowledge, settings.target, settings.host, log.part("owner")),
+            Owner(
+                knowledge,
+                settings.target,
+                settings.host,
+                Recorder(log.part("owner"), metrics, settings.service),
+            ),
         )
         peers = kernel.add(
             "peers",
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -13,11 +13,11 @@
     Pool,
 )
 from ragwortferry.http1.messages import encode_request, end_to_end, find
-from ragwortferry.logs import Log
 from ragwortferry.mesh.admission import SMOOTHING, Admission, Job, Refusal
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
 from ragwortferry.mesh.frames import Load
 from ragwortferry.mesh.knowledge import Knowledge
+from ragwortferry.mesh.recording import Recorder
 from ragwortferry.platform.names import (
     CALLER_HEADER,
     DEADLINE_HEADER,
@@ -67,11 +67,15 @@
     """
 
     def __init__(
-        self, knowledge: Knowledge, target: Address | None, own_host: str, log: Log
+        self,
+        knowledge: Knowledge,
+        target: Address | None,
+        own_host: str,
+        recorder: Recorder,
     ):
         self._knowledge = knowledge
         self._target = target
-        self._log = log
+        self._recorder = recorder
         self._pool = Pool(target, own_host) if target else None
         self._admission = Admission(FIRST_SLOTS, self._expired)
         self._runs: dict[int, Run] = {}
@@ -181,18 +185,20 @@
 
     def _refuse(self, run: Run, failure: Failure) -> None:
         self.refused += 1
-        self._log.event(
-            "refused-attempt",
-            "attempt is refused",
-            request_id=run.attempt.request_id,
-            upstream=run.attempt.upstream,
-            kind=failure.kind,
-            detail=failure.detail,
-            version=run.attempt.version,
-            revision=self._knowledge.revision,
-        )
+        self._record(run, failure, 0)
         run.sink.on_reply_failed(failure, self.load())
 
+    def _record(self, run: Run, failure: Failure | None, status: int) -> None:
+        began = run.job.started_at
+        now = asyncio.get_running_loop().time()
+        note = {
+            "status": status,
+            "ran_ms": round((now - began) * 1000, 1) if run.job.running else 0.0,
+            "running": self._admission.running,
+            "queued": self._admission.queued,
+        }
+        self._recorder.attempt(run.attempt, note, failure, self._knowledge.revision)
+
     def _expired(self, job: Job, refusal: Refusal) -> None:
         run: Run = job.payload
         self._runs.pop(id(run), None)
@@ -248,6 +254,7 @@
                 self._pool.release(connection)
             else:
                 connection.close()
+        self._record(run, failure, exchange.status)
         if failure is None:
             run.sink.on_reply_end(self.load())
         else:
@@ -285,6 +292,7 @@
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.ended = False
         self.ran = False
+        self.status = 0
         # Whether the deadline ended the run.
         self.cut = False
         self.failed = False
@@ -312,6 +320,7 @@
             self.failed = True
             return
         self.ran = True
+        self.status = head.status
         self.cut = head.status == GATEWAY_TIMEOUT
         self.failed = head.status >= SERVER_ERROR
         if head.status < 300 and not find(head.headers, SIGNATURE_HEADER):
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -70,7 +70,7 @@
     def __init__(self, address: Address):
         self.address = address
         self.link: Link | None = None
-        self.waiting: dict[int, Waiting] = {}
+        self.waiting: dict[str, Waiting] = {}
         self.pinged_at = 0.0
         # Time of the first sign of life that was asked for in vain.
         self.asked_at = NEVER
@@ -79,6 +79,7 @@
         # Since when it cannot be reached, if its last try failed or its link was lost.
         self.failing_since = NEVER
         self.tried = False
+        self.wanted = True
         # Set by a sign that it can be reached again.
         self.hinted = asyncio.Event()
 
@@ -91,13 +92,12 @@
         """Note that it cannot be reached."""
         self.tried = True
         self.failing_since = min(self.failing_since, now)
-        self.wanted = True
 
 
 class _RemoteSink:
     """Sends the answer of the own upstream back over a link."""
 
-    def __init__(self, link: Link, key: int, done: Callable[[int], None]):
+    def __init__(self, link: Link, key: str, done: Callable[[str], None]):
         self._link = link
         self._key = key
         self._done = done
@@ -160,7 +160,7 @@
         self._log = log
         self._rng = rng
         self._peers: dict[str, _Peer] = {}
-        self._accepted: dict[Link, dict[int, Run]] = {}
+        self._accepted: dict[Link, dict[str, Run]] = {}
         self._listener: asyncio.Server | None = None
         self._tokens = 0
         self.on_load: Callable[[str, Load], None] = lambda host, load: None
@@ -209,16 +209,7 @@
     async def send(self, attempt: Attempt, reply: Reply) -> None:
         """Send an attempt to the owner of its upstream."""
         peer = self._peer(attempt.host)
-        now = asyncio.get_running_loop().time()
-        if peer.link is None and (
-            not peer.failing or now - peer.failing_since < LINK_WAIT_S
-        ):
-            left = attempt.deadline - now
-            try:
-                async with asyncio.timeout(min(LINK_WAIT_S, max(0.0, left))):
-                    await peer.linked.wait()
-            except TimeoutError:
-                pass
+        await self._until_linked(peer, attempt.deadline)
         if peer.link is None:
             detail = f"no link to {peer.address.host}"
             failure = Failure(ErrorKind.CONNECT_FAILED, Outcome.NOT_RUN, detail)
@@ -227,6 +218,18 @@
         peer.waiting[attempt.key] = Waiting(attempt, reply)
         peer.link.send(_submit(attempt))
 
+    async def _until_linked(self, peer: _Peer, deadline: float) -> None:
+        """Wait for a link that is being established, or was lost a moment ago."""
+        now = asyncio.get_running_loop().time()
+        lost_long_ago = peer.failing and now - peer.failing_since > LINK_WAIT_S
+        if peer.link is not None or lost_long_ago:
+            return
+        try:
+            async with asyncio.timeout(min(LINK_WAIT_S, max(0.0, deadline - now))):
+                await peer.linked.wait()
+        except TimeoutError:
+            return
+
     def cancel(self, attempt: Attempt) -> None:
         """Withdraw an attempt from its owner."""
         peer = self._peers.get(attempt.host)
@@ -396,7 +399,7 @@
             self._owner.load(),
         )
 
-    def _waiting(self, link: Link, key: int, last: bool = False) -> Waiting | None:
+    def _waiting(self, link: Link, key: str, last: bool = False) -> Waiting | None:
         peer = self._peers.get(link.host)
         if peer is None or peer.link is not link:
             return None
--- a/ragwortferry/mesh/recording.py
+++ b/ragwortferry/mesh/recording.py
@@ -8,6 +8,7 @@
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.http1.messages import Request
 from ragwortferry.logs import Log
+from ragwortferry.mesh.attempt import Attempt, Failure
 from ragwortferry.mesh.metrics import NodeMetrics
 from ragwortferry.utils.pacing import TokenBucket
 
@@ -72,6 +73,36 @@
             attempts=course.attempts,
         )
 
+    def attempt(
+        self, attempt: Attempt, note: dict, failure: Failure | None, revision: int
+    ) -> None:
+        """Write the line of an attempt that this node owned.
+
+        :param note: what the owner knows: status, times, load of the upstream.
+        :param failure: why there is no answer, ``None`` if there is one.
+        :param revision: revision of the registry that the owner went by.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self._may_write(now, failure is not None):
+            return
+        outcome = str(failure.outcome if failure else Outcome.RAN)
+        key = {"key": attempt.key, "upstream": attempt.upstream, "outcome": outcome}
+        self._log.event(
+            "request",
+            "attempt ended" if failure is None else "attempt failed",
+            hop="owner",
+            request_id=attempt.request_id,
+            route=attempt.route,
+            version=attempt.version,
+            revision=revision,
+            outcome=outcome,
+            error=str(failure.kind) if failure else "",
+            detail=failure.detail if failure else "",
+            complete=failure is None,
+            attempts=[key],
+            **note,
+        )
+
     def rejected(
         self, request: Request, request_id: str, kind: ErrorKind, version: int
     ) -> None:
--- a/ragwortferry/mesh/tests/test_nodes.py
+++ b/ragwortferry/mesh/tests/test_nodes.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from ragwortferry.record.explain import explain_request
+from ragwortferry.record.lines import read_lines
 from ragwortferry.tests.mesh_builders import a_config
 from standins.mesh import Mesh
 
@@ -311,6 +313,27 @@
     play(scenario)
 
 
+def test_logs_explain_a_failed_request_and_stay_bounded(play):
+    async def scenario(mesh):
+        for machine in mesh.machines:
+            machine.upstream.slots = 1
+            machine.upstream.work_s = 0.3
+            await mesh.register(machine)
+        asked = [
+            mesh.ask(mesh.machines[n % 4], "/panels/1", f"r{n}") for n in range(40)
+        ]
+        answers = await asyncio.gather(*asked)
+        refused = next(n for n, (status, _, _) in enumerate(answers) if status == 503)
+        await asyncio.sleep(0.2)
+        paths = [str(machine.log) for machine in mesh.machines]
+        explained = explain_request(f"r{refused}", read_lines(paths))
+        assert explained.ran == "not-run" and explained.remarks == []
+        assert {hop.hop for hop in explained.hops} == {"entry", "owner"}
+        assert all(hop.version == 7 for hop in explained.hops)
+
+    play(scenario)
+
+
 def test_registry_survives_entries_that_name_no_upstream(play):
     async def scenario(mesh):
         await mesh.store.put("servers/i-odd", b"\xff\x00")
