--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,14 @@
 	$(BIN)/python -m piptools compile --quiet --extra dev --generate-hashes \
 	  --no-emit-index-url --no-emit-find-links --no-emit-trusted-host \
 	  --allow-unsafe --output-file requirements.lock pyproject.toml
+	$(BIN)/python -m piptools compile --quiet --constraint=requirements.lock \
+	  --generate-hashes --no-emit-index-url --no-emit-find-links \
+	  --no-emit-trusted-host --allow-unsafe \
+	  --output-file requirements-run.lock pyproject.toml
+	$(BIN)/python -m piptools compile --quiet --constraint=requirements.lock \
+	  --generate-hashes --no-emit-index-url --no-emit-find-links \
+	  --no-emit-trusted-host --allow-unsafe \
+	  --output-file requirements-node.lock requirements-node.in
 
 binary: install
 	rm -rf build/site && mkdir -p build/site dist
