--- /dev/null
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -0,0 +1,304 @@
+"""Framing, relaying and reading, without processes."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortferry.kernel import Kernel
+from ragwortferry.mesh.frames import (
+    Announce,
+    Cancel,
+    Configuration,
+    Ping,
+    Pull,
+    Registry,
+    encode_frame,
+)
+from ragwortferry.mesh.knowledge import Knowledge, RegistryChange
+from ragwortferry.mesh.link import LENGTH_BYTES, Link
+from ragwortferry.mesh.reader import LAPSE_S, Reader
+from ragwortferry.mesh.relay import HUBS, Relay
+from ragwortferry.platform.config import decode_document
+from ragwortferry.platform.store import (
+    HistoryLostError,
+    Item,
+    Page,
+    StoreUnavailableError,
+)
+from ragwortferry.tests.mesh_builders import (
+    a_config,
+    an_entry,
+    an_upstream,
+    silent_log,
+)
+
+
+class Collector:
+    """Keeps what a link hands on."""
+
+    def __init__(self):
+        self.frames = []
+        self.lost = []
+
+    def link_made(self, link):
+        """Do nothing."""
+
+    def link_frame(self, link, frame):
+        self.frames.append(frame)
+
+    def link_lost(self, link, reason):
+        self.lost.append(reason)
+
+
+def _stream(frames) -> bytes:
+    parts = [encode_frame(frame) for frame in frames]
+    return b"".join(len(p).to_bytes(LENGTH_BYTES, "big") + p for p in parts)
+
+
+def test_messages_survive_any_cuts_of_the_stream():
+    async def scenario():
+        frames = [Cancel(str(number) * number) for number in range(40)]
+        data = _stream(frames)
+        rng = random.Random(5)
+        for _ in range(50):
+            collector = Collector()
+            link = Link(collector, True)
+            start = 0
+            while start < len(data):
+                end = start + rng.randint(1, 30)
+                link.data_received(data[start:end])
+                start = end
+            assert collector.frames == frames
+
+    asyncio.run(scenario())
+
+
+@given(st.binary(min_size=1, max_size=100))
+def test_bytes_that_are_no_message_end_the_link(data):
+    async def scenario():
+        collector = Collector()
+        link = Link(collector, True)
+        link.data_received(len(data).to_bytes(LENGTH_BYTES, "big") + data)
+        assert link.closed or collector.frames
+
+    asyncio.run(scenario())
+
+
+class FakeLink:
+    """Keeps what is sent to a peer."""
+
+    def __init__(self, host, zone, dialed=True, relays=True):
+        self.host, self.zone = host, zone
+        self.dialed, self.relays = dialed, relays
+        self.peer_version = self.peer_revision = 0
+        self.closed = False
+        self.sent = []
+
+    def send(self, frame):
+        self.sent.append(frame)
+
+
+def _relay(host="10.0.0.1", zone="a"):
+    knowledge = Knowledge(decode_document, silent_log())
+    return knowledge, Relay(knowledge, host, zone, silent_log())
+
+
+def _config(number: int) -> bytes:
+    import json
+
+    return json.dumps(a_config(f"r{number}")).encode()
+
+
+def test_version_is_pushed_in_the_zone_and_announced_to_others():
+    knowledge, relay = _relay()
+    near, far = FakeLink("10.0.0.2", "a"), FakeLink("10.0.1.1", "b")
+    relay.links = lambda: [near, far]
+    knowledge.learn_document(_config(7), "store")
+    assert [type(frame) for frame in near.sent] == [Configuration]
+    assert [type(frame) for frame in far.sent] == [Announce]
+
+
+def test_each_node_is_told_once_whatever_links_there_are():
+    knowledge, relay = _relay()
+    both = [FakeLink("10.0.0.2", "a"), FakeLink("10.0.0.2", "a", dialed=False)]
+    relay.links = lambda: both
+    knowledge.learn_document(_config(7), "store")
+    assert sum(len(link.sent) for link in both) == 1
+
+
+def test_pull_brings_what_is_newer():
+    knowledge, relay = _relay()
+    knowledge.learn_document(_config(7), "store")
+    knowledge.learn_registry(RegistryChange(0, 5, [an_upstream()]), "store")
+    link = FakeLink("10.0.1.1", "b")
+    relay.frame(link, Pull(6, 5))
+    assert [type(frame) for frame in link.sent] == [Configuration]
+    relay.frame(link, Pull(7, 4))
+    assert isinstance(link.sent[-1], Registry) and link.sent[-1].since == 0
+
+
+def test_peer_that_stays_behind_is_brought_up_to_date():
+    knowledge, relay = _relay()
+    link = FakeLink("10.0.1.1", "b")
+    relay.links = lambda: []
+    knowledge.learn_document(_config(7), "store")
+    relay.heard(link, 6, 0)
+    assert not link.sent
+    relay.heard(link, 6, 0)
+    assert [type(frame) for frame in link.sent] == [Configuration]
+
+
+def test_gap_in_the_registry_is_pulled():
+    knowledge, relay = _relay()
+    knowledge.learn_registry(RegistryChange(0, 5, [an_upstream()]), "store")
+    link = FakeLink("10.0.0.2", "a")
+    relay.frame(link, Registry(8, 9, [an_upstream("i-2", revision=9)], []))
+    assert link.sent == [Pull(0, 5)]
+
+
+def test_next_in_order_reads_when_a_reader_is_lost_or_not_served():
+    hosts = {f"10.0.0.{n}": "a" for n in range(1, 6)}
+    order = None
+    relays = {}
+    for host in hosts:
+        _, relay = _relay(host)
+        relay.set_hosts({other: "a" for other in hosts if other != host})
+        relays[host] = relay
+        order = relay.zone_order
+    alive = set(hosts)
+    assert [h for h in order if relays[h].is_reader(alive - {h})] == order[:HUBS]
+    left = alive - {order[0]}
+    readers = [h for h in order[1:] if relays[h].is_reader(left - {h})]
+    assert readers == order[1 : 1 + HUBS]
+
+
+def test_tree_reaches_every_node_of_a_large_zone():
+    hosts = {f"10.0.{n // 200}.{n % 200}": "a" for n in range(400)}
+    edges = {}
+    for host in hosts:
+        _, relay = _relay(host)
+        relay.set_hosts({other: "a" for other in hosts if other != host})
+        for other in relay.neighbours:
+            edges.setdefault(other, set()).add(host)
+            edges.setdefault(host, set()).add(other)
+        order = relay.zone_order
+    reached, turn = {order[0]}, {order[0]}
+    depth = 0
+    while turn:
+        turn = {other for host in turn for other in edges[host]} - reached
+        reached |= turn
+        depth += bool(turn)
+    assert reached == set(hosts) and depth <= 5
+    assert max(len(peers) for peers in edges.values()) <= 30
+
+
+class FakeStore:
+    """Answers from a script."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    async def list(self, prefix):
+        return self._next()
+
+    async def watch(self, prefix, after, wait_s):
+        return self._next()
+
+    async def read(self, key):
+        return self._next()
+
+    def _next(self):
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def _reader(store):
+    knowledge, relay = _relay()
+    kernel = Kernel(silent_log())
+    peers = type("NoPeers", (), {"links": []})()
+    rng = random.Random(1)
+    reader = Reader(kernel, knowledge, peers, relay, store, silent_log(), rng)
+    return knowledge, relay, reader
+
+
+def _item(name: str, revision: int, **changes) -> Item:
+    return Item(f"servers/{name}", revision, an_entry(**changes))
+
+
+def _page(*items, revision=10):
+    return Page(list(items), revision)
+
+
+def test_lost_history_leads_to_a_new_list():
+    async def scenario():
+        store = FakeStore(
+            _page(_item("i-1", 3), _item("i-2", 4)),
+            HistoryLostError("gone"),
+            _page(_item("i-2", 4), _item("i-3", 12), revision=12),
+        )
+        knowledge, _, reader = _reader(store)
+        after = await reader._registry(0)
+        with pytest.raises(HistoryLostError):
+            await reader._registry(after)
+        await reader._registry(0)
+        assert set(knowledge.upstreams) == {"i-2", "i-3"}
+
+    asyncio.run(scenario())
+
+
+def test_entries_that_vanish_in_an_outage_stay_until_it_is_over():
+    async def scenario():
+        known = [_item(f"i-{n}", n) for n in range(1, 4)]
+        store = FakeStore(_page(*known), _page(revision=20))
+        knowledge, relay, reader = _reader(store)
+        await reader._registry(0)
+        reader._unserved("registry", StoreUnavailableError("busy"))
+        reader._served("registry")
+        await reader._registry(0)
+        assert set(knowledge.upstreams) == {"i-1", "i-2", "i-3"}
+        reader._learn_changes(20, [_item("i-1", 21), _item("i-2", 22)])
+        reader._settle(["i-1", "i-2", "i-3"])
+        assert set(knowledge.upstreams) == {"i-1", "i-2"}
+
+    asyncio.run(scenario())
+
+
+def test_draining_acts_at_once_also_after_an_outage():
+    async def scenario():
+        store = FakeStore(_page(_item("i-1", 1), _item("i-2", 2)))
+        knowledge, _, reader = _reader(store)
+        await reader._registry(0)
+        reader._unserved("registry", StoreUnavailableError("busy"))
+        reader._served("registry")
+        status = {"state": "draining", "seq": 9}
+        reader._learn_changes(10, [_item("i-1", 11, status=status)])
+        assert knowledge.upstreams["i-1"].draining
+        reader._learn_changes(11, [Item("servers/i-1", 12, None, removed=True)])
+        assert "i-1" not in knowledge.upstreams
+
+    asyncio.run(scenario())
+
+
+def test_single_removal_acts_at_once_while_the_store_serves():
+    async def scenario():
+        known = [_item(f"i-{n}", n) for n in range(1, 8)]
+        knowledge, _, reader = _reader(FakeStore(_page(*known)))
+        await reader._registry(0)
+        reader._learn_changes(10, [Item("servers/i-1", 12, None, removed=True)])
+        assert "i-1" not in knowledge.upstreams
+
+    asyncio.run(scenario())
+
+
+def test_lapse_bound_covers_the_return_of_entries():
+    # Entries are back about two seconds after the store is.
+    assert 2.0 <= LAPSE_S <= 2.5
+
+
+def test_sign_of_life_is_a_small_message():
+    assert len(encode_frame(Ping(10_000, 10_000, 10_000, True))) <= 24
--- /dev/null
+++ b/ragwortferry/mesh/tests/test_recording.py
@@ -0,0 +1,57 @@
+"""The record of requests is bounded and says what it leaves out."""
+
+import asyncio
+
+from ragwortferry.exceptions import ErrorKind
+from ragwortferry.http1.messages import Request
+from ragwortferry.mesh.metrics import NodeMetrics
+from ragwortferry.mesh.recording import (
+    BURST_S,
+    FAILED_LINES_PER_S,
+    SUMMARY_S,
+    Recorder,
+)
+
+
+class Lines:
+    """Keeps the events of a log."""
+
+    def __init__(self):
+        self.events = []
+
+    def event(self, event, sentence, **fields):
+        self.events.append((event, fields))
+
+
+def test_flood_of_refusals_is_cut_and_counted():
+    async def scenario():
+        lines, metrics = Lines(), NodeMetrics("node-1", "a")
+        recorder = Recorder(lines, metrics, "s")
+        request = Request("GET", "/x", [], b"", True, 0.0)
+        for number in range(5000):
+            recorder.rejected(request, f"r{number}", ErrorKind.NO_ROUTE, 3)
+        most = FAILED_LINES_PER_S * BURST_S
+        assert 0 < len(lines.events) <= most + FAILED_LINES_PER_S
+        recorder._summary_at -= SUMMARY_S
+        recorder.rejected(request, "last", ErrorKind.NO_ROUTE, 3)
+        counts = [
+            fields["count"] for event, fields in lines.events if event == "left-out"
+        ]
+        assert sum(counts) >= 5000 - most - FAILED_LINES_PER_S
+        assert (
+            'ragwortferry_requests{status="0",error="no-route"} 5001' in metrics.text()
+        )
+
+    asyncio.run(scenario())
+
+
+def test_metrics_page_holds_a_latency_histogram():
+    metrics = NodeMetrics("node-1", "a")
+    metrics.observe("version", lambda: 7)
+    for seconds in (0.004, 0.3, 9.0):
+        metrics.request("panels", 200, "", seconds)
+    text = metrics.text()
+    assert "ragwortferry_version 7\n" in text
+    assert 'ragwortferry_request_ms_bucket{route="panels",le="5"} 1\n' in text
+    assert 'ragwortferry_request_ms_bucket{route="panels",le="+Inf"} 3\n' in text
+    assert 'ragwortferry_request_ms_count{route="panels"} 3\n' in text
--- /dev/null
+++ b/ragwortferry/utils/tests/test_outlet.py
@@ -0,0 +1,41 @@
+"""A reader that stops reading never blocks the writer."""
+
+import asyncio
+import os
+
+from ragwortferry.utils.outlet import MAX_WAITING_BYTES, Outlet
+
+
+def test_writer_goes_on_when_nobody_reads():
+    async def scenario():
+        reader, writer = os.pipe()
+        outlet = Outlet(writer)
+        line = "x" * 999 + "\n"
+        for _ in range(5000):
+            outlet.write(line)
+        outlet.flush()
+        assert outlet.dropped > 0
+        taken = len(os.read(reader, 2**20))
+        assert 0 < taken <= MAX_WAITING_BYTES
+        os.close(reader)
+        outlet.flush()
+        outlet.write(line)
+        outlet.flush()
+        os.close(writer)
+
+    asyncio.run(scenario())
+
+
+def test_lines_arrive_whole_and_in_order():
+    async def scenario():
+        reader, writer = os.pipe()
+        outlet = Outlet(writer)
+        for number in range(100):
+            outlet.write(f"{number}\n")
+        outlet.flush()
+        lines = os.read(reader, 2**16).decode().splitlines()
+        assert lines == [str(number) for number in range(100)]
+        os.close(reader)
+        os.close(writer)
+
+    asyncio.run(scenario())
