Never follow an answer that ran by a refusal, give late requests up early

Change: the upstream's answer is passed on when further tries are refused; a late request waits no longer than its patience. Measured: test_request_that_ran_is_not_answered_as_if_it_had_not failed before (503 in place of 500); test_late_request_is_given_up_early_when_others_keep_coming failed before (not given up in 1.8 s).

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -31,6 +31,9 @@
 WAIT_SHARE = 0.5
 # The same for a request that is late already: the rest is left for another attempt.
 LATE_WAIT_SHARE = 0.25
+# Shortest time that a late request may wait, in seconds: a slot is free sooner unless
+# the upstream is overloaded.
+LEAST_PATIENCE_S = 0.05
 # Share of the slots that requests below the highest waiting rank may hold although it
 # waits, so that no kind of request is starved by a more urgent one.
 LOWER_SHARE = 0.25
@@ -58,6 +61,7 @@
     repeatable: bool = False
     running: bool = False
     late_on_arrival: bool = False
+    patient_until: float = float("inf")
     probe: bool = False
 
 
@@ -132,6 +136,9 @@
             job.probe = self._may_probe(job, now)
         if self._is_hopeless(job, now) or wait > self._patience(job, now):
             return Refusal(ErrorKind.OVERLOADED, self._retry_after(wait))
+        if job.late_on_arrival:
+            patience = max(LEAST_PATIENCE_S, self._patience(job, now))
+            job.patient_until = now + patience
         self._queue.append(job)
         return None
 
@@ -199,7 +206,7 @@
                 and self._is_late(job, now)
                 and self._rank(job, now) > first
             )
-            if displaced or self._is_hopeless(job, now):
+            if displaced or now > job.patient_until or self._is_hopeless(job, now):
                 self._drop(job, now)
 
     def _drop(self, job: Job, now: float) -> None:
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -59,6 +59,8 @@
 
     :param offered: arrivals at upstreams so far.
     :param moves: refusals by owners so far.
+    :param answer: the last answer of an upstream; it has run the request, so nothing
+        that says the contrary may follow.
     """
 
     request: Request
@@ -74,6 +76,7 @@
     moves: int = 0
     unsure: bool = False
     failure: Failure | None = None
+    answer: Reply | None = None
 
 
 class Entry:
@@ -347,6 +350,7 @@
         failure = reply.failure
         if failure is None:
             course.offered += 1
+            course.answer = reply
             known = self._sizes.get(course.route.name, float(reply.size))
             size = known + SMOOTHING * (reply.size - known)
             self._sizes[course.route.name] = size
@@ -402,6 +406,8 @@
     def _finish(self, exchange: Exchange, course: Course, reply: Reply | None) -> None:
         """Pass the upstream's answer on, or answer for it."""
         if reply is None or reply.failure is not None:
+            reply = course.answer
+        if reply is None:
             self._give_up(exchange, course)
             return
         exchange.respond(reply.status, reply.headers, reply.take())
--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -150,6 +150,27 @@
     assert admission.next(0.0) is late
 
 
+def test_late_request_is_given_up_early_when_others_keep_coming():
+    refused = []
+    admission = Admission(1, lambda job, refusal: refused.append(clock))
+    clock, running = 0.0, None
+    late = None
+    for step in range(100):
+        clock = step * 0.02
+        if running is not None and clock - running.started_at >= 0.1:
+            admission.finish(running, clock, True)
+            running = None
+        if step == 10:
+            late = _job(clock, objective=0.05, deadline=2.0)
+            assert admission.offer(late, clock) is None
+        if step % 4 == 0:
+            admission.offer(_job(clock, objective=1.0, deadline=2.0), clock)
+        admission.expire(clock)
+        if running is None:
+            running = admission.next(clock)
+    assert refused and refused[0] - 0.2 <= 0.6
+
+
 def test_late_request_lets_those_go_first_that_can_be_on_time():
     admission = Admission(1, lambda job, refusal: None)
     first, late, fresh = _job(0.0), _job(0.0, objective=0.05, deadline=2.0), _job(0.0)
--- a/ragwortferry/mesh/tests/test_entry.py
+++ b/ragwortferry/mesh/tests/test_entry.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 
+from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.http1.messages import Request
+from ragwortferry.mesh.attempt import Failure
 from ragwortferry.mesh.entry import Entry
 from ragwortferry.mesh.knowledge import Knowledge, RegistryChange
 from ragwortferry.mesh.placing import Placer
@@ -33,6 +35,18 @@
         reply.on_reply_end(None)
 
 
+class FailingThenRefusingPeers(FailingPeers):
+    """Answers the first attempt with an error, and refuses those after it."""
+
+    async def send(self, attempt, reply):
+        if not self.sent:
+            await super().send(attempt, reply)
+            return
+        self.sent.append(attempt.upstream)
+        failure = Failure(ErrorKind.OVERLOADED, Outcome.NOT_RUN, "full", 0.2)
+        reply.on_reply_failed(failure, None)
+
+
 class Notes:
     """Keeps what is recorded."""
 
@@ -57,12 +71,49 @@
         self.answer = (status, body)
 
 
+def _entry(knowledge, peers, notes, nodes) -> Entry:
+    rng = random.Random(1)
+    address = Address("127.0.0.1", 0)
+    placer = Placer("a", rng)
+    return Entry(
+        knowledge,
+        placer,
+        None,
+        peers,
+        notes,
+        address,
+        "s",
+        "k",
+        Bounds(),
+        rng,
+        nodes,
+    )
+
+
+def _knowledge(*upstreams) -> Knowledge:
+    knowledge = Knowledge(decode_document, silent_log())
+    knowledge.document = a_document()
+    knowledge.learn_registry(RegistryChange(0, 3, list(upstreams)), "store")
+    return knowledge
+
+
+def test_request_that_ran_is_not_answered_as_if_it_had_not():
+    async def scenario():
+        knowledge = _knowledge(*(an_upstream(f"i-{n}") for n in range(4)))
+        peers, notes = FailingThenRefusingPeers(), Notes()
+        entry = _entry(knowledge, peers, notes, lambda: 1)
+        exchange = Answered()
+        await entry._handle(exchange)
+        assert len(peers.sent) > 1
+        assert exchange.answer == (500, b"bad")
+        assert notes.ended == [(500, "", "ran")]
+
+    asyncio.run(scenario())
+
+
 def test_answer_that_has_come_is_passed_on_when_no_other_upstream_is_left():
     async def scenario():
-        knowledge = Knowledge(decode_document, silent_log())
-        knowledge.document = a_document()
-        upstreams = [an_upstream("i-1"), an_upstream("i-2")]
-        knowledge.learn_registry(RegistryChange(0, 3, upstreams), "store")
+        knowledge = _knowledge(an_upstream("i-1"), an_upstream("i-2"))
         peers, notes = FailingPeers(), Notes()
 
         def nodes():
@@ -71,21 +122,7 @@
             knowledge.learn_registry(RegistryChange(3, 9, [], gone), "store")
             return 1
 
-        rng = random.Random(1)
-        address = Address("127.0.0.1", 0)
-        entry = Entry(
-            knowledge,
-            Placer("a", rng),
-            None,
-            peers,
-            notes,
-            address,
-            "s",
-            "k",
-            Bounds(),
-            rng,
-            nodes,
-        )
+        entry = _entry(knowledge, peers, notes, nodes)
         exchange = Answered()
         await entry._handle(exchange)
         assert len(peers.sent) == 1
