Start the shares of a split at a random point of their cycle

Cause: a new test of splits: over 60 nodes with five requests each a part of weight 10 of 100 got 1.3% of the first requests: the random start favoured the heavy part. Change: the cycle is run through a random number of times before its first use.

--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -44,6 +44,8 @@
 # Seconds for which an upstream is avoided after its owner could not be reached.
 BAR_S = 1.0
 SERVER_ERROR = 500
+# Requests after which the shares of a split repeat, for weights in whole percent.
+SPLIT_CYCLE = 100
 # Repeats that another try after an error of the upstream costs: its calls may have
 # failed, and would fail again.
 ERROR_COST = 3
@@ -230,17 +232,13 @@
         parts = route.destinations
         if len(parts) == 1:
             return parts[0].service
-        total = sum(part.weight for part in parts) or 1.0
         key = (route.host, route.name)
         owed = self._shares.get(key)
         if owed is None or len(owed) != len(parts):
-            owed = [self._rng.uniform(0, part.weight / total) for part in parts]
-            self._shares[key] = owed
-        for number, part in enumerate(parts):
-            owed[number] += part.weight / total
-        chosen = max(range(len(parts)), key=owed.__getitem__)
-        owed[chosen] -= 1.0
-        return parts[chosen].service
+            owed = self._shares[key] = [0.0] * len(parts)
+            for _ in range(self._rng.randrange(SPLIT_CYCLE)):
+                _next_part(route, owed)
+        return parts[_next_part(route, owed)].service
 
     async def _run(self, exchange: Exchange, course: Course) -> None:
         """Try upstreams until one answers or no further try is allowed."""
@@ -475,6 +473,17 @@
         self._recorder.request(course, reply.status, error, Outcome.RAN, whole)
 
 
+def _next_part(route: Route, owed: list[float]) -> int:
+    """Return the number of the part of a split that is owed most, and let it pay."""
+    parts = route.destinations
+    total = sum(part.weight for part in parts) or 1.0
+    for number, part in enumerate(parts):
+        owed[number] += part.weight / total
+    chosen = max(range(len(parts)), key=owed.__getitem__)
+    owed[chosen] -= 1.0
+    return chosen
+
+
 def _deadline_s(request: Request, default: float) -> float:
     """Return the seconds that the caller waits."""
     text = find(request.headers, DEADLINE_HEADER)
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -19,6 +19,7 @@
 )
 from ragwortferry.mesh.knowledge import Knowledge, RegistryChange
 from ragwortferry.mesh.link import LENGTH_BYTES, Link
+from ragwortferry.mesh.peers import Peers, _Peer
 from ragwortferry.mesh.reader import LAPSE_S, Reader
 from ragwortferry.mesh.relay import HUBS, Relay
 from ragwortferry.platform.config import decode_document
@@ -34,6 +35,7 @@
     an_upstream,
     silent_log,
 )
+from ragwortferry.utils.sockets import Address
 
 
 class Collector:
@@ -302,3 +304,75 @@
 
 def test_sign_of_life_is_a_small_message():
     assert len(encode_frame(Ping(10_000, 10_000, 10_000, True))) <= 24
+
+
+def _peers_with_one_link():
+    knowledge, relay = _relay()
+    address = Address("10.0.0.1", 8145)
+    peers = Peers(
+        Kernel(silent_log()),
+        knowledge,
+        None,
+        relay,
+        address,
+        "a",
+        "incarnation",
+        silent_log(),
+        random.Random(1),
+    )
+    peer = _Peer(Address("10.0.0.2", 8145))
+    peer.link = FakeLink("10.0.0.2", "a")
+    peer.link.heard_at = 0.0
+    peer.link.reasons = []
+    peer.link.close = peer.link.reasons.append
+    peers._peers["10.0.0.2"] = peer
+    return peers, peer
+
+
+def _check(peers, peer, start: float, end: float) -> float:
+    """Check the link every 50 ms and return when it was given up, 0 if it was not."""
+    now = start
+    while now < end:
+        peers._check_dialed(peer, peer.link, now)
+        if peer.link.reasons:
+            return now
+        now += 0.05
+    return 0.0
+
+
+def test_link_that_falls_silent_under_requests_is_given_up_within_half_a_second():
+    peers, peer = _peers_with_one_link()
+    peer.waiting["k"] = object()
+    assert 0.4 <= _check(peers, peer, 0.0, 5.0) <= 0.6
+
+
+def test_idle_link_that_falls_silent_is_given_up_within_five_seconds():
+    peers, peer = _peers_with_one_link()
+    assert 3.0 <= _check(peers, peer, 0.0, 9.0) <= 5.0
+
+
+def test_link_that_answers_is_kept():
+    peers, peer = _peers_with_one_link()
+    peer.waiting["k"] = object()
+    for step in range(200):
+        peers._check_dialed(peer, peer.link, step * 0.05)
+        if any(isinstance(frame, Ping) for frame in peer.link.sent):
+            peer.link.sent.clear()
+            peer.link.heard_at = step * 0.05 + 0.01
+    assert not peer.link.reasons
+
+
+def test_late_check_is_not_held_against_the_peers():
+    peers, peer = _peers_with_one_link()
+    peer.waiting["k"] = object()
+    peers._check_dialed(peer, peer.link, 0.15)
+    peers._pardon(3.0)
+    peers._check_dialed(peer, peer.link, 3.0)
+    assert not peer.link.reasons
+
+
+def test_peer_that_left_the_registry_is_not_wanted_because_its_link_is_lost():
+    peers, peer = _peers_with_one_link()
+    peer.wanted = False
+    peer.fail(1.0)
+    assert not peer.wanted
