--- a/ragwortferry/mesh/tests/test_nodes.py
+++ b/ragwortferry/mesh/tests/test_nodes.py
@@ -21,6 +21,17 @@
     return config
 
 
+async def _accept_and_wait(mesh: Mesh) -> None:
+    """Accept a version that moves the routes to another host, in force within 2 s."""
+    config = a_config("r9")
+    config["listeners"][0]["host"] = "new.example"
+    await mesh.accept(config)
+    async with asyncio.timeout(2.0):
+        for machine in mesh.machines:
+            while (await mesh.ask(machine, "/x", "a", host="new.example"))[0] != 200:
+                await asyncio.sleep(0.01)
+
+
 @pytest.fixture
 def play(tmp_path):
     """Run a scenario against a mesh of four machines in two zones."""
@@ -89,15 +100,7 @@
 
 def test_accepted_version_is_in_force_on_all_nodes(play):
     async def scenario(mesh):
-        config = a_config("r9")
-        config["listeners"][0]["host"] = "new.example"
-        await mesh.accept(config)
-        async with asyncio.timeout(2.0):
-            for machine in mesh.machines:
-                while (await mesh.ask(machine, "/x", "a", host="new.example"))[
-                    0
-                ] != 200:
-                    await asyncio.sleep(0.01)
+        await _accept_and_wait(mesh)
         assert (await mesh.ask(mesh.machines[0], "/x", "b"))[0] == 404
 
     play(scenario)
@@ -106,19 +109,9 @@
 @pytest.mark.parametrize("fault", ["busy", "reset", "silent"])
 def test_version_reaches_nodes_that_the_store_turns_away(play, fault):
     async def scenario(mesh):
-        mesh.store.barred = {
-            machine.host for machine in mesh.machines if machine.zone == "a"
-        }
+        mesh.store.barred = {item.host for item in mesh.machines if item.zone == "a"}
         mesh.store.fault = fault
-        config = a_config("r9")
-        config["listeners"][0]["host"] = "new.example"
-        await mesh.accept(config)
-        async with asyncio.timeout(2.0):
-            for machine in mesh.machines:
-                while (await mesh.ask(machine, "/x", "a", host="new.example"))[
-                    0
-                ] != 200:
-                    await asyncio.sleep(0.01)
+        await _accept_and_wait(mesh)
 
     play(scenario)
 
