Give each test run its own loopback network

Cause: two test runs at the same time used the same addresses of the small mesh. Change: the network's second number comes from the process id; tests only.

--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -21,6 +21,8 @@
 METRICS_PORT = 9464
 UPSTREAM_PORT, CALLERS_PORT, READY_PORT, LINK_PORT = 18147, 18141, 18140, 18145
 STORE_HOST_NUMBER = 250
+# Second number of the loopback addresses: differs between test runs at the same time.
+NETWORK = 20 + os.getpid() % 200
 POLL_S = 0.02
 END_S = 8.0
 
@@ -87,7 +89,7 @@
 
     @property
     def _store_host(self) -> str:
-        return f"127.77.{self.subnet}.{STORE_HOST_NUMBER}"
+        return f"127.{NETWORK}.{self.subnet}.{STORE_HOST_NUMBER}"
 
     async def start(self, layout: list[tuple[str, str]]) -> None:
         """Start the store, and a machine for each service and zone of the layout."""
@@ -101,7 +103,7 @@
     async def add(self, service: str, zone: str, register: bool = True) -> Machine:
         """Start one more upstream and its node."""
         number = len(self.machines) + 1
-        host = f"127.77.{self.subnet}.{number}"
+        host = f"127.{NETWORK}.{self.subnet}.{number}"
         upstream = UpstreamStandin(f"i-{number}", service, zone)
         await upstream.start(host, UPSTREAM_PORT)
         name = f"node-{number}"
