Stay ready while new peers are dialed, give slow network links more time

Change: the first dialing of all peers is remembered; a link with less than 100 Mbit/s on either side may be silent for 2 s. Measured: test_stays_ready_while_a_new_peer_is_dialed failed before and passes.

--- /dev/null
+++ b/benchmarks/pipelining.py
@@ -0,0 +1,95 @@
+"""Compares the callers' side with aiohttp's server, in turns in one run.
+
+Callers send several requests on a connection before the first is answered; each of them
+takes a while. The last line is a JSON object with ratios of this server to aiohttp's.
+"""
+
+import asyncio
+import json
+import statistics
+import time
+
+import fire
+import uvloop
+from aiohttp import web
+
+from ragwortferry.http1.server import Server
+
+WORK_S = 0.02
+HOST = "127.0.0.1"
+OWN_PORT, OTHER_PORT = 18301, 18302
+END = b"\r\n\r\n"
+
+
+async def _own(exchange) -> None:
+    if exchange.request.path == "/work":
+        await asyncio.sleep(WORK_S)
+    exchange.respond(200, [], b"ok")
+
+
+async def _other(request) -> web.Response:
+    if request.path == "/work":
+        await asyncio.sleep(WORK_S)
+    return web.Response(body=b"ok")
+
+
+async def _batch(port: int, path: str, depth: int) -> float:
+    """Send a batch on one connection and return the time until its last answer."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    began = time.perf_counter()
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode() * depth)
+    for _ in range(depth):
+        await reader.readuntil(END)
+        await reader.readexactly(2)
+    took = time.perf_counter() - began
+    writer.close()
+    return took
+
+
+async def _measure(port: int, depth: int, connections: int) -> tuple[float, float]:
+    """Return the median time of a batch, and processor seconds for 1,000 requests."""
+    asked = [_batch(port, "/work", depth) for _ in range(connections)]
+    median = statistics.median(await asyncio.gather(*asked))
+    began = time.process_time()
+    for _ in range(20):
+        await _batch(port, "/", 50)
+    return median, time.process_time() - began
+
+
+async def _main(depth: int, connections: int, turns: int) -> dict:
+    server = Server(_own, HOST, OWN_PORT)
+    await server.start()
+    runner = web.ServerRunner(web.Server(_other, access_log=None))
+    await runner.setup()
+    await web.TCPSite(runner, HOST, OTHER_PORT).start()
+    figures = {OWN_PORT: [], OTHER_PORT: []}
+    for _ in range(turns):
+        for port, values in figures.items():
+            values.append(await _measure(port, depth, connections))
+    await server.stop()
+    await runner.cleanup()
+
+    def median(port: int, number: int) -> float:
+        return statistics.median(value[number] for value in figures[port])
+
+    return {
+        "depth": depth,
+        "batch_ms": round(median(OWN_PORT, 0) * 1000, 1),
+        "batch_ms_aiohttp": round(median(OTHER_PORT, 0) * 1000, 1),
+        "batch_ratio": round(median(OWN_PORT, 0) / median(OTHER_PORT, 0), 3),
+        "processor_ratio": round(median(OWN_PORT, 1) / median(OTHER_PORT, 1), 3),
+    }
+
+
+def run(depth: int = 8, connections: int = 20, turns: int = 5) -> None:
+    """Measure both servers.
+
+    :param depth: requests that a caller sends before the first answer
+    :param connections: callers at once
+    :param turns: turns of both servers
+    """
+    print(json.dumps(uvloop.run(_main(depth, connections, turns))))
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -49,6 +49,7 @@
 class Hello(Struct, tag=1, array_like=True):
     """First message in each direction of a link.
 
+    :param link_mbps: bandwidth of the sender's instance, in Mbit/s.
     :param relays: whether the sender wants changes of state on this link.
     :param version: newest version of the configuration that the sender has.
     :param revision: revision of the registry up to which it is complete.
@@ -60,6 +61,7 @@
     relays: bool
     version: int
     revision: int
+    link_mbps: float
 
 
 class Ping(Struct, tag=2, array_like=True):
--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/link.py
@@ -47,6 +47,8 @@
         self.host = host
         self.zone = ""
         self.relays = False
+        # Bandwidth of the peer's instance, in Mbit/s.
+        self.peer_mbps = float("inf")
         self.peer_version = 0
         self.peer_revision = 0
         self.peer_store_served = True
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -68,6 +68,8 @@
         self._kernel = Kernel(self._log.part("kernel"))
         self._rng = random.Random(self._incarnation)
         self._changed = 0
+        # Whether each peer that was known at the start was dialed once.
+        self._linked_up = False
         self.leaving = False
 
     def run(self) -> int:
@@ -132,6 +134,7 @@
                 relay,
                 settings.link,
                 settings.zone,
+                settings.link_mbps,
                 self._incarnation,
                 log.part("link"),
                 self._rng,
@@ -172,8 +175,8 @@
         if exchange.request.path != READY_PATH:
             exchange.respond(NOT_FOUND, [])
         else:
-            tried = self._kernel.get("peers").tried
-            ready = knowledge.ready and tried and not self.leaving
+            self._linked_up |= self._kernel.get("peers").tried
+            ready = knowledge.ready and self._linked_up and not self.leaving
             exchange.respond(OK if ready else UNAVAILABLE, [])
 
     async def _page(self, exchange: Exchange) -> None:
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -39,6 +39,12 @@
 # Seconds of silence after which a link with waiting attempts is given up; below any
 # route's timeout, so that a repeatable request can still be served elsewhere.
 BUSY_SILENCE_S = 0.4
+# The same where a slow network link lies between: a single answer of half a megabyte
+# takes 1.4 s at 3 Mbit/s, and signs of life wait behind it.
+SLOW_SILENCE_S = 2.0
+# Bandwidth below which a network link is slow, in Mbit/s: at 100 the same answer takes
+# 0.04 s.
+SLOW_MBPS = 100.0
 # Seconds of silence after which an idle link is given up.
 IDLE_SILENCE_S = 3.0
 # Period of the check of all links, in seconds.
@@ -135,6 +141,7 @@
     """Keeps links to the nodes of the registry's upstreams.
 
     :param address: where this node accepts links; all nodes use the same port.
+    :param link_mbps: bandwidth of the own instance, in Mbit/s.
     :param incarnation: name of this run of the process.
     """
 
@@ -146,6 +153,7 @@
         relay: Relay,
         address: Address,
         zone: str,
+        link_mbps: float,
         incarnation: str,
         log: Log,
         rng: random.Random,
@@ -156,6 +164,7 @@
         self._relay = relay
         self._address = address
         self._zone = zone
+        self._link_mbps = link_mbps
         self._incarnation = incarnation
         self._log = log
         self._rng = rng
@@ -330,6 +339,7 @@
                 link.dialed and link.host in self._relay.neighbours,
                 knowledge.version,
                 knowledge.revision,
+                self._link_mbps,
             )
         )
 
@@ -375,7 +385,7 @@
                     self._owner.cancel(run)
             case Hello():
                 link.host, link.zone = frame.host, frame.zone
-                link.relays = frame.relays
+                link.relays, link.peer_mbps = frame.relays, frame.link_mbps
                 self._hint(link)
                 self._relay.greeted(link, frame.version, frame.revision)
             case Ping():
@@ -446,10 +456,15 @@
             peer.pinged_at = now
             peer.asked_at = min(peer.asked_at, now)
             link.send(self._ping())
-        bound = BUSY_SILENCE_S if peer.waiting else IDLE_SILENCE_S
+        bound = self._busy_silence(link) if peer.waiting else IDLE_SILENCE_S
         if now - peer.asked_at > bound:
             link.close("silent")
 
+    def _busy_silence(self, link: Link) -> float:
+        """Return the bound on the silence of a link with attempts that wait."""
+        slow = min(self._link_mbps, link.peer_mbps) < SLOW_MBPS
+        return SLOW_SILENCE_S if slow else BUSY_SILENCE_S
+
     def _ping(self) -> Ping:
         self._tokens += 1
         knowledge = self._knowledge
--- /dev/null
+++ b/ragwortferry/mesh/tests/test_readiness.py
@@ -0,0 +1,57 @@
+"""When a node says that callers may be sent to it."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from ragwortferry.http1.messages import Request
+from ragwortferry.mesh.node import Node
+from ragwortferry.platform.names import READY_PATH
+from ragwortferry.platform.tests.test_decoders import SETTINGS
+
+
+@pytest.fixture
+def node(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    node = Node(path)
+    node._kernel.add("knowledge", SimpleNamespace(ready=True))
+    node._kernel.add("peers", SimpleNamespace(tried=True))
+    return node
+
+
+def _asked(node: Node) -> int:
+    answers = []
+    exchange = SimpleNamespace(
+        request=Request("GET", READY_PATH, [], b"", True, 0.0),
+        respond=lambda status, headers: answers.append(status),
+    )
+    asyncio.run(node._readiness(exchange))
+    return answers[0]
+
+
+def test_ready_with_state_and_peers_that_were_dialed(node):
+    assert _asked(node) == 200
+
+
+def test_not_ready_before_there_is_state(node):
+    node._kernel.get("knowledge").ready = False
+    assert _asked(node) == 503
+
+
+def test_not_ready_before_each_peer_was_dialed(node):
+    node._kernel.get("peers").tried = False
+    assert _asked(node) == 503
+
+
+def test_stays_ready_while_a_new_peer_is_dialed(node):
+    assert _asked(node) == 200
+    node._kernel.get("peers").tried = False
+    assert _asked(node) == 200
+
+
+def test_not_ready_while_leaving(node):
+    assert _asked(node) == 200
+    node.leaving = True
+    assert _asked(node) == 503
