--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -300,6 +300,7 @@
                 continue
             peer.link, peer.asked_at, peer.failing_since = link, NEVER, NEVER
             peer.tried = True
+            self._log.event("link-made", "link is open", peer=peer.address.host)
             peer.linked.set()
             backoff.reset()
             while not link.closed and peer.wanted:
--- a/ragwortferry/mesh/tests/test_nodes.py
+++ b/ragwortferry/mesh/tests/test_nodes.py
@@ -124,6 +124,14 @@
         await mesh.run(machine)
         await mesh.ready(machine)
         assert (await mesh.ask(machine, "/panels/1", "r1"))[0] == 200
+        other = mesh.machines[0]
+        assert machine.host in {x["peer"] for x in mesh.lines(other, "link-lost")}
+        await mesh.until(
+            lambda: (
+                [x["peer"] for x in mesh.lines(other, "link-made")].count(machine.host)
+                == 2
+            )
+        )
 
     play(scenario)
 
