--- a/ragwortferry/http1/client.py
+++ b/ragwortferry/http1/client.py
@@ -72,7 +72,7 @@
 class ClientConnection(asyncio.Protocol):
     """One connection that carries one request at a time.
 
-    :param on_idle: called with the connection when it may carry another request.
+    :param address: where it leads to.
     """
 
     def __init__(self, address: Address):
@@ -84,7 +84,6 @@
         self._bodyless = False
         self._skipping = False
         self._until_eof = False
-        self._head_done = False
         self._headers: Headers = []
         self._idle_s = DEFAULT_IDLE_S
         self.idle_since = self._loop.time()
@@ -163,7 +162,7 @@
 
     def on_message_begin(self) -> None:
         """Start an answer."""
-        self._headers, self._head_done = [], False
+        self._headers = []
         self._skipping = self._until_eof = False
         if self._sink is None:
             self.reusable = False
@@ -185,7 +184,6 @@
             self._skipping = True
             self._until_eof = False
             return
-        self._head_done = True
         self._until_eof = not length and not chunked and status not in BODYLESS
         self._note_lifetime()
         self._sink.on_head(head)
--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -50,6 +50,10 @@
     :param route: name of its route; service times are kept by route.
     :param objective_at: time until which an answer is worth most.
     :param deadline_at: time until which an answer is of use.
+    :param payload: what the owner runs.
+    :param repeatable: whether it may be lost without harm, so that it can be a probe.
+    :param patient_until: time until which a late request waits.
+    :param probe: whether it runs to see if a slow upstream is still slow.
     """
 
     route: str
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -59,6 +59,13 @@
 class Course:
     """The course of one request.
 
+    :param service: destination that was chosen among the route's.
+    :param deadline: loop time of the final answer.
+    :param objective: loop time until which an answer is worth most.
+    :param tried: ids of upstreams that were tried.
+    :param attempts: what the record says of each try.
+    :param unsure: whether a try may have run without an answer.
+    :param failure: why the last try failed.
     :param offered: arrivals at upstreams so far.
     :param moves: refusals by owners so far.
     :param answer: the last answer of an upstream; it has run the request, so nothing
--- a/ragwortferry/mesh/placing.py
+++ b/ragwortferry/mesh/placing.py
@@ -48,8 +48,13 @@
 class View:
     """What this node knows about one upstream.
 
+    :param load: the owner's last report, ``None`` before the first.
+    :param load_at: time of that report.
     :param sent: own requests there that are not answered yet.
     :param sent_then: the same at the time of the last report.
+    :param failures: recent failures, which fade from ``failed_at`` on.
+    :param barred_until: time until which others are preferred whatever they cost.
+    :param cold_s: how long it was to be slow when it became known.
     """
 
     load: Load | None = None
