Split links from messages, splits from the entry; share the run of a process

Change: attempts as messages in mesh/remote.py, shares of routes in mesh/splits.py, run_main and kernel_entrypoint in runtime.py. No behaviour changes. Measured: tests of mesh, spread and command line pass; make demo ends.

--- a/ragwortferry/composition.py
+++ b/ragwortferry/composition.py
@@ -7,12 +7,10 @@
 import signal
 from dataclasses import dataclass
 
-import aiomisc
-
 from ragwortferry.admin import Admin
 from ragwortferry.exceptions import SettingsError, SourceError
 from ragwortferry.kernel import Kernel
-from ragwortferry.logs import Log, LogContext, open_log
+from ragwortferry.logs import Log, LogContext
 from ragwortferry.metrics import Metrics
 from ragwortferry.requests.balance import Balancer
 from ragwortferry.requests.drain import Drain
@@ -21,7 +19,12 @@
 from ragwortferry.requests.owner import Owner
 from ragwortferry.requests.remote import RemoteOwners
 from ragwortferry.requests.target import Target
-from ragwortferry.runtime import KernelService, first_of, spare_collector
+from ragwortferry.runtime import (
+    first_of,
+    kernel_entrypoint,
+    run_main,
+    spare_collector,
+)
 from ragwortferry.settings import Settings
 from ragwortferry.source import directory, http  # noqa: F401 (they register adapters)
 from ragwortferry.source.port import Instance, open_source
@@ -33,7 +36,6 @@
 from ragwortferry.spread.seeker import Seeker
 from ragwortferry.spread.store import VersionStore
 from ragwortferry.utils.clock import HybridClock
-from ragwortferry.utils.loop import NumericLoop
 from ragwortferry.utils.pacing import TokenBucket
 
 SOURCE_BURST = 50.0
@@ -57,30 +59,15 @@
 
     def run(self) -> int:
         """Run until a signal or a broken invariant, and return the exit code."""
-        settings = self._settings
-        stream = open_log(settings.log)
-        loop = NumericLoop()
-        asyncio.set_event_loop(loop)
-        try:
-            return loop.run_until_complete(self._run(loop))
-        finally:
-            loop.close()
-            stream.flush()
+        return run_main(self._run, self._settings.log)
 
     async def _run(self, loop: asyncio.AbstractEventLoop) -> int:
         kernel = _wire(self._settings, self._clock, self._log)
         self._stopping, self._hurrying = asyncio.Event(), asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
-        entrypoint = aiomisc.entrypoint(
-            KernelService(kernel=kernel),
-            loop=loop,
-            log_config=False,
-            catch_signals=(),
-            shutdown_timeout=STOP_GRACE_S,
-        )
         try:
-            async with entrypoint:
+            async with kernel_entrypoint(kernel, loop, STOP_GRACE_S):
                 spare_collector()
                 self._log.event(
                     "started", "process started", settings=self._described()
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -19,6 +19,7 @@
 from ragwortferry.mesh.peers import Peers
 from ragwortferry.mesh.placing import Placer
 from ragwortferry.mesh.recording import Recorder
+from ragwortferry.mesh.splits import Splits
 from ragwortferry.platform.boot import Bounds
 from ragwortferry.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
 from ragwortferry.utils.sockets import Address
@@ -44,8 +45,6 @@
 # Seconds for which an upstream is avoided after its owner could not be reached.
 BAR_S = 1.0
 SERVER_ERROR = 500
-# Requests after which the shares of a split repeat, for weights in whole percent.
-SPLIT_CYCLE = 100
 # Repeats that another try after an error of the upstream costs: its calls may have
 # failed, and would fail again.
 ERROR_COST = 3
@@ -118,11 +117,10 @@
         self._service = service
         self._prefix = prefix
         self._bounds = bounds
-        self._rng = rng
         self._nodes = nodes
         self._numbers = itertools.count(1)
         self._budgets: dict[str, RetryBudget] = {}
-        self._shares: dict[tuple[str, str], list[float]] = {}
+        self._splits = Splits(rng)
         self._server = Server(self._handle, address.host, address.port)
         # Longest time that callers of a route wait, and mean size of its answers.
         self._longest: dict[str, float] = {}
@@ -206,7 +204,7 @@
             request_id,
             document,
             route,
-            self._choose_service(route),
+            self._splits.choose(route),
             request.arrived + min(left, route.timeout_s) - ANSWER_MARGIN_S,
             request.arrived + route.objective_s - self._waited(route, left),
         )
@@ -229,24 +227,6 @@
         self._longest[route.name] = longest
         return longest - left if left < RETURNED_SHARE * longest else 0.0
 
-    def _choose_service(self, route: Route) -> str:
-        """Return a destination, so that each gets its share of the route's requests.
-
-        Each request adds its weight to every part; the part that is owed most is
-        chosen and pays for it. Shares start at a random point of the cycle, so that
-        nodes with few requests do not all begin with the same part.
-        """
-        parts = route.destinations
-        if len(parts) == 1:
-            return parts[0].service
-        key = (route.host, route.name)
-        owed = self._shares.get(key)
-        if owed is None or len(owed) != len(parts):
-            owed = self._shares[key] = [0.0] * len(parts)
-            for _ in range(self._rng.randrange(SPLIT_CYCLE)):
-                _next_part(route, owed)
-        return parts[_next_part(route, owed)].service
-
     async def _run(self, exchange: Exchange, course: Course) -> None:
         """Try upstreams until one answers or no further try is allowed."""
         loop = asyncio.get_running_loop()
@@ -480,17 +460,6 @@
         self._recorder.request(course, reply.status, error, Outcome.RAN, whole)
 
 
-def _next_part(route: Route, owed: list[float]) -> int:
-    """Return the number of the part of a split that is owed most, and let it pay."""
-    parts = route.destinations
-    total = sum(part.weight for part in parts) or 1.0
-    for number, part in enumerate(parts):
-        owed[number] += part.weight / total
-    chosen = max(range(len(parts)), key=owed.__getitem__)
-    owed[chosen] -= 1.0
-    return chosen
-
-
 def _deadline_s(request: Request, default: float) -> float:
     """Return the seconds that the caller waits."""
     text = find(request.headers, DEADLINE_HEADER)
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -8,12 +8,10 @@
 import time
 from pathlib import Path
 
-import aiomisc
-
 from ragwortferry.exceptions import SettingsError
 from ragwortferry.http1.server import Exchange, Server
 from ragwortferry.kernel import Kernel
-from ragwortferry.logs import Log, LogContext, open_log
+from ragwortferry.logs import Log, LogContext
 from ragwortferry.mesh.entry import Entry
 from ragwortferry.mesh.knowledge import Knowledge
 from ragwortferry.mesh.metrics import NodeMetrics
@@ -27,9 +25,13 @@
 from ragwortferry.platform.config import decode_document
 from ragwortferry.platform.names import READY_PATH
 from ragwortferry.platform.store import Store
-from ragwortferry.runtime import KernelService, first_of, spare_collector
+from ragwortferry.runtime import (
+    first_of,
+    kernel_entrypoint,
+    run_main,
+    spare_collector,
+)
 from ragwortferry.utils.clock import HybridClock
-from ragwortferry.utils.loop import NumericLoop
 
 # Seconds between a stop signal and the earliest end: the platform asks for readiness
 # each second and stops sending callers after two misses.
@@ -74,14 +76,7 @@
 
     def run(self) -> int:
         """Run until a signal, and return the exit code."""
-        stream = open_log("stdout")
-        loop = NumericLoop()
-        asyncio.set_event_loop(loop)
-        try:
-            return loop.run_until_complete(self._run(loop))
-        finally:
-            loop.close()
-            stream.flush()
+        return run_main(self._run, "stdout")
 
     async def _run(self, loop: asyncio.AbstractEventLoop) -> int:
         stopping = asyncio.Event()
@@ -89,14 +84,7 @@
         loop.add_signal_handler(signal.SIGINT, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         kernel = self._wire()
-        entrypoint = aiomisc.entrypoint(
-            KernelService(kernel=kernel),
-            loop=loop,
-            log_config=False,
-            catch_signals=(),
-            shutdown_timeout=SHUTDOWN_S,
-        )
-        async with entrypoint:
+        async with kernel_entrypoint(kernel, loop, SHUTDOWN_S):
             spare_collector()
             self._log.event("started", "node started", incarnation=self._incarnation)
             kernel.spawn(self._watch(), "watch")
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -28,6 +28,12 @@
 from ragwortferry.mesh.link import Link
 from ragwortferry.mesh.owner import Owner, Run
 from ragwortferry.mesh.relay import Relay
+from ragwortferry.mesh.remote import (
+    LinkSink,
+    attempt_of,
+    failure_of,
+    submit_frame,
+)
 from ragwortferry.utils.pacing import Backoff
 from ragwortferry.utils.sockets import Address, connected_socket, listen
 
@@ -100,43 +106,6 @@
         self.failing_since = min(self.failing_since, now)
 
 
-class _RemoteSink:
-    """Sends the answer of the own upstream back over a link."""
-
-    def __init__(self, link: Link, key: str, done: Callable[[str], None]):
-        self._link = link
-        self._key = key
-        self._done = done
-
-    def on_reply_head(self, status, headers, length) -> None:
-        """Send the head."""
-        self._link.send(Head(self._key, status, headers, length))
-
-    def on_reply_data(self, data: bytes) -> None:
-        """Send a part of the body."""
-        self._link.send(Data(self._key, data))
-
-    def on_reply_end(self, load: Load | None) -> None:
-        """Send the end."""
-        self._done(self._key)
-        self._link.send(End(self._key, load))
-
-    def on_reply_failed(self, failure: Failure, load: Load | None) -> None:
-        """Send the reason."""
-        self._done(self._key)
-        self._link.send(
-            Failed(
-                self._key,
-                str(failure.kind),
-                str(failure.outcome),
-                failure.detail,
-                failure.retry_after_s,
-                failure.offered,
-                load,
-            )
-        )
-
-
 class Peers:
     """Keeps links to the nodes of the registry's upstreams.
 
@@ -225,7 +194,7 @@
             reply.on_reply_failed(failure, None)
             return
         peer.waiting[attempt.key] = Waiting(attempt, reply)
-        peer.link.send(_submit(attempt))
+        peer.link.send(submit_frame(attempt))
 
     async def _until_linked(self, peer: _Peer, deadline: float) -> None:
         """Wait for a link that is being established, or was lost a moment ago."""
@@ -378,7 +347,7 @@
                     item.reply.on_reply_end(frame.load)
             case Failed():
                 if item := self._waiting(link, frame.key, last=True):
-                    item.reply.on_reply_failed(_failure(frame), frame.load)
+                    item.reply.on_reply_failed(failure_of(frame), frame.load)
             case Submit():
                 self._submitted(link, frame)
             case Cancel():
@@ -420,8 +389,8 @@
         runs = self._accepted.get(link)
         if runs is None:
             return
-        sink = _RemoteSink(link, frame.key, lambda key: runs.pop(key, None))
-        run = self._owner.submit(_attempt(frame, self._address.host), sink)
+        sink = LinkSink(link, frame.key, lambda key: runs.pop(key, None))
+        run = self._owner.submit(attempt_of(frame, self._address.host), sink)
         if run is not None:
             runs[frame.key] = run
 
@@ -475,54 +444,3 @@
             knowledge.revision,
             self._relay.store_served,
         )
-
-
-def _submit(attempt: Attempt) -> Submit:
-    now = asyncio.get_running_loop().time()
-    return Submit(
-        key=attempt.key,
-        request_id=attempt.request_id,
-        upstream=attempt.upstream,
-        left_ms=(attempt.deadline - now) * 1000,
-        objective_ms=(attempt.objective - now) * 1000,
-        priority=attempt.priority,
-        repeatable=attempt.repeatable,
-        route=attempt.route,
-        version=attempt.version,
-        caller=attempt.caller,
-        method=attempt.method,
-        target=attempt.target,
-        headers=attempt.headers,
-        body=attempt.body,
-    )
-
-
-def _attempt(frame: Submit, host: str) -> Attempt:
-    now = asyncio.get_running_loop().time()
-    return Attempt(
-        key=frame.key,
-        request_id=frame.request_id,
-        upstream=frame.upstream,
-        host=host,
-        deadline=now + frame.left_ms / 1000,
-        objective=now + frame.objective_ms / 1000,
-        priority=frame.priority,
-        repeatable=frame.repeatable,
-        route=frame.route,
-        version=frame.version,
-        caller=frame.caller,
-        method=frame.method,
-        target=frame.target,
-        headers=frame.headers,
-        body=frame.body,
-    )
-
-
-def _failure(frame: Failed) -> Failure:
-    return Failure(
-        ErrorKind(frame.kind),
-        Outcome(frame.ran),
-        frame.detail,
-        frame.retry_after_s,
-        frame.offered,
-    )
--- /dev/null
+++ b/ragwortferry/mesh/remote.py
@@ -0,0 +1,102 @@
+"""Attempts and answers as messages between nodes."""
+
+__all__ = ["LinkSink", "attempt_of", "failure_of", "submit_frame"]
+
+import asyncio
+from collections.abc import Callable
+
+from ragwortferry.exceptions import ErrorKind, Outcome
+from ragwortferry.mesh.attempt import Attempt, Failure
+from ragwortferry.mesh.frames import Data, End, Failed, Head, Load, Submit
+from ragwortferry.mesh.link import Link
+
+
+class LinkSink:
+    """Sends the answer of the own upstream back over a link."""
+
+    def __init__(self, link: Link, key: str, done: Callable[[str], None]):
+        self._link = link
+        self._key = key
+        self._done = done
+
+    def on_reply_head(self, status, headers, length) -> None:
+        """Send the head."""
+        self._link.send(Head(self._key, status, headers, length))
+
+    def on_reply_data(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._link.send(Data(self._key, data))
+
+    def on_reply_end(self, load: Load | None) -> None:
+        """Send the end."""
+        self._done(self._key)
+        self._link.send(End(self._key, load))
+
+    def on_reply_failed(self, failure: Failure, load: Load | None) -> None:
+        """Send the reason."""
+        self._done(self._key)
+        self._link.send(
+            Failed(
+                self._key,
+                str(failure.kind),
+                str(failure.outcome),
+                failure.detail,
+                failure.retry_after_s,
+                failure.offered,
+                load,
+            )
+        )
+
+
+def submit_frame(attempt: Attempt) -> Submit:
+    """Return the message that asks an owner for an attempt."""
+    now = asyncio.get_running_loop().time()
+    return Submit(
+        key=attempt.key,
+        request_id=attempt.request_id,
+        upstream=attempt.upstream,
+        left_ms=(attempt.deadline - now) * 1000,
+        objective_ms=(attempt.objective - now) * 1000,
+        priority=attempt.priority,
+        repeatable=attempt.repeatable,
+        route=attempt.route,
+        version=attempt.version,
+        caller=attempt.caller,
+        method=attempt.method,
+        target=attempt.target,
+        headers=attempt.headers,
+        body=attempt.body,
+    )
+
+
+def attempt_of(frame: Submit, host: str) -> Attempt:
+    """Return the attempt that a message asks this node for."""
+    now = asyncio.get_running_loop().time()
+    return Attempt(
+        key=frame.key,
+        request_id=frame.request_id,
+        upstream=frame.upstream,
+        host=host,
+        deadline=now + frame.left_ms / 1000,
+        objective=now + frame.objective_ms / 1000,
+        priority=frame.priority,
+        repeatable=frame.repeatable,
+        route=frame.route,
+        version=frame.version,
+        caller=frame.caller,
+        method=frame.method,
+        target=frame.target,
+        headers=frame.headers,
+        body=frame.body,
+    )
+
+
+def failure_of(frame: Failed) -> Failure:
+    """Return the failure that an owner reports."""
+    return Failure(
+        ErrorKind(frame.kind),
+        Outcome(frame.ran),
+        frame.detail,
+        frame.retry_after_s,
+        frame.offered,
+    )
--- a/ragwortferry/runtime.py
+++ b/ragwortferry/runtime.py
@@ -1,19 +1,22 @@
 """Running a kernel on one loop and one thread until a signal."""
 
-__all__ = ["KernelService", "first_of", "spare_collector"]
+__all__ = ["first_of", "kernel_entrypoint", "run_main", "spare_collector"]
 
 import asyncio
 import gc
+from collections.abc import Callable, Coroutine
 
 import aiomisc
 
 from ragwortferry.kernel import Kernel
+from ragwortferry.logs import open_log
+from ragwortferry.utils.loop import NumericLoop
 
 # Objects that may be made between two rounds of the garbage collector.
 YOUNG_OBJECTS = 10_000
 
 
-class KernelService(aiomisc.Service):
+class _KernelService(aiomisc.Service):
     """Runs the kernel inside the aiomisc entrypoint."""
 
     kernel: Kernel
@@ -27,6 +30,39 @@
         await self.kernel.stop()
 
 
+def run_main(
+    main: Callable[[asyncio.AbstractEventLoop], Coroutine[None, None, int]], log: str
+) -> int:
+    """Run the process on a loop of its own and return its exit code.
+
+    :param log: where log lines go, see :func:`ragwortferry.logs.open_log`.
+    """
+    stream = open_log(log)
+    loop = NumericLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(main(loop))
+    finally:
+        loop.close()
+        stream.flush()
+
+
+def kernel_entrypoint(
+    kernel: Kernel, loop: asyncio.AbstractEventLoop, shutdown_s: float
+) -> aiomisc.entrypoint:
+    """Return the context in which the services of a kernel run.
+
+    :param shutdown_s: seconds that they have to stop.
+    """
+    return aiomisc.entrypoint(
+        _KernelService(kernel=kernel),
+        loop=loop,
+        log_config=False,
+        catch_signals=(),
+        shutdown_timeout=shutdown_s,
+    )
+
+
 async def first_of(*events: asyncio.Event) -> None:
     """Wait until one of the events is set."""
     waits = [asyncio.ensure_future(event.wait()) for event in events]
