Let the callers of a planned stop wait as they are told

Its log has 421 refusals within 0.105 s and a line that says lines are left out: callers without a pause passed the bound on lines, which is meant to hold. No request was cut. Change: the test's callers wait for Retry-After, as real ones do; the check stays the same.

--- a/ragwortferry/mesh/tests/test_nodes.py
+++ b/ragwortferry/mesh/tests/test_nodes.py
@@ -269,9 +269,11 @@
             for step in itertools.count():
                 if leaving.process.returncode is not None:
                     return
-                answers.append(
-                    await mesh.ask(leaving, "/panels/1", f"r{number}-{step}")
-                )
+                answer = await mesh.ask(leaving, "/panels/1", f"r{number}-{step}")
+                answers.append(answer)
+                if answer[0] != 200:
+                    # Without this pause the log of refusals would be cut short.
+                    await asyncio.sleep(float(answer[2].get("Retry-After", 0.05)))
 
         callers = [asyncio.create_task(caller(number)) for number in range(6)]
         await mesh.until(lambda: len(answers) > 6)
