Let long answers wait for the network link, and short messages pass them

Cause: on machines with links of 3 Mbit/s, answers of 80 KB were handed to the operating system whole.

Change: utils/outflow.py keeps long answers in pieces and lets them out at nine tenths of the network link, in the order in which they came; short messages never wait. Links and caller connections share it. Owners count the wait for the link in admission and report it; placing adds the transfer. Nodes greet with the whole registry only those beside them in the tree. Links of 100 Mbit/s and more are not paced.

--- a/ragwortferry/http1/server.py
+++ b/ragwortferry/http1/server.py
@@ -14,6 +14,7 @@
 import httptools
 
 from ragwortferry.http1.messages import Headers, Request, encode_answer
+from ragwortferry.utils.outflow import Outflow, Stream
 from ragwortferry.utils.sockets import listen
 
 # Requests of one connection that are read before the first is answered: bounds memory.
@@ -127,6 +128,8 @@
         self._ended = False
         self._writable = asyncio.Event()
         self._writable.set()
+        # What waits for its share of the network link.
+        self._stream: Stream | None = None
         self._begin()
         self.active_at = self._loop.time()
 
@@ -169,6 +172,8 @@
         self._server.connections.discard(self)
         self._ended = True
         self._writable.set()
+        if self._stream:
+            self._stream.drop()
         for exchange in self._pending:
             if exchange.task:
                 exchange.task.cancel()
@@ -259,7 +264,28 @@
             self._transport.pause_reading()
         exchange.task = self._loop.create_task(self._server.handle(exchange))
 
+    @property
+    def congested(self) -> bool:
+        """Return whether the caller reads more slowly than it is written to."""
+        return not self._writable.is_set()
+
+    @property
+    def _waiting_bytes(self) -> int:
+        return self._stream.waiting_bytes if self._stream else 0
+
     def send(self, data: bytes) -> None:
+        """Write to the caller, behind what waits for the network link."""
+        outflow = self._server.outflow
+        if outflow is None:
+            self.write_piece(data)
+        elif self._waiting_bytes or outflow.holds_back(len(data)):
+            self._stream = self._stream or outflow.open(self)
+            self._stream.put_all(data)
+        else:
+            outflow.note(len(data))
+            self.write_piece(data)
+
+    def write_piece(self, data: bytes) -> None:
         """Write to the caller if it is still there."""
         if self._transport and not self._transport.is_closing():
             self._transport.write(data)
@@ -280,7 +306,7 @@
     def sweep(self, now: float) -> None:
         """Close a connection that is idle or too slow with its headers."""
         limits = self._server.limits
-        if self._ended or self._pending:
+        if self._ended or self._pending or self._waiting_bytes:
             return
         if self._begun_at is None:
             if now - self.active_at > limits.idle_timeout_s or self._server.closed:
@@ -291,6 +317,8 @@
     def abort(self) -> None:
         """Break the connection off."""
         self._ended = True
+        if self._stream:
+            self._stream.drop()
         if self._transport:
             self._transport.abort()
 
@@ -313,6 +341,14 @@
         for exchange in self._pending:
             if exchange.task:
                 exchange.task.cancel()
+        if self._waiting_bytes:
+            self._stream.on_empty = self._close
+        else:
+            self._close()
+
+    def _close(self) -> None:
+        if self._transport.is_closing():
+            return
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._loop.call_later(LINGER_S, self._transport.close)
@@ -322,10 +358,14 @@
     """One listening port.
 
     :param handler: answers each exchange; it must not raise.
+    :param outflow: keeps long answers back if the network link is slow.
     """
 
-    def __init__(self, handler: Handler, host: str, port: int):
+    def __init__(
+        self, handler: Handler, host: str, port: int, outflow: Outflow | None = None
+    ):
         self._handler = handler
+        self.outflow = outflow
         self._host = host
         self._port = port
         self._listener: asyncio.Server | None = None
--- a/ragwortferry/http1/tests/test_server.py
+++ b/ragwortferry/http1/tests/test_server.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ragwortferry.http1.server import Exchange, Server
+from ragwortferry.utils.outflow import Outflow
 
 
 def _free_port() -> int:
@@ -166,3 +167,64 @@
         assert await reader.read() == b""
 
     _run(scenario)
+
+
+LONG = bytes(range(256)) * 300
+
+
+def _run_slow(scenario) -> None:
+    """Run against a server whose network link holds long answers back."""
+
+    async def handle(exchange: Exchange) -> None:
+        exchange.respond(200, [], LONG if exchange.request.path == "/long" else b"ok")
+
+    async def main():
+        outflow = Outflow(20.0, asyncio.get_running_loop())
+        server = Server(handle, "127.0.0.1", _free_port(), outflow)
+        await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server._port)
+        try:
+            async with asyncio.timeout(10):
+                await scenario(server, reader, writer)
+        finally:
+            writer.close()
+            await server.stop()
+
+    asyncio.run(main())
+
+
+def test_answers_behind_a_held_back_one_stay_in_order():
+    async def scenario(server, reader, writer):
+        for path in (b"/long", b"/short", b"/long"):
+            writer.write(b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert [await _answer(reader) for _ in range(3)] == [
+            (200, LONG),
+            (200, b"ok"),
+            (200, LONG),
+        ]
+        assert server.outflow.idle
+
+    _run_slow(scenario)
+
+
+def test_connection_ends_only_after_what_was_held_back():
+    async def scenario(server, reader, writer):
+        writer.write(b"GET /long HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        assert await _answer(reader) == (200, LONG)
+        assert await reader.read() == b""
+
+    _run_slow(scenario)
+
+
+def test_caller_that_leaves_takes_no_more_bandwidth():
+    async def scenario(server, reader, writer):
+        for _ in range(8):
+            writer.write(b"GET /long HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readexactly(1000)
+        assert not server.outflow.idle
+        writer.transport.abort()
+        while server.connections:
+            await asyncio.sleep(0.01)
+        assert server.outflow.idle
+
+    _run_slow(scenario)
--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -51,6 +51,7 @@
     :param objective_at: time until which an answer is worth most.
     :param deadline_at: time until which an answer is of use.
     :param payload: what the owner runs.
+    :param send_wait_s: time that its answer will wait for the network link, in seconds.
     :param repeatable: whether it may be lost without harm, so that it can be a probe.
     :param patient_until: time until which a late request waits.
     :param probe: whether it runs to see if a slow upstream is still slow.
@@ -61,6 +62,7 @@
     objective_at: float
     deadline_at: float
     payload: object = None
+    send_wait_s: float = 0.0
     started_at: float = 0.0
     repeatable: bool = False
     running: bool = False
@@ -135,7 +137,7 @@
     def offer(self, job: Job, now: float) -> Refusal | None:
         """Take a job in, or return why not; :meth:`next` says which one to run."""
         job.late_on_arrival = self._is_late(job, now)
-        wait = self._wait_before(job, now)
+        wait = self._wait_before(job, now) + job.send_wait_s
         if self._is_hopeless(job, now) and wait == 0:
             job.probe = self._may_probe(job, now)
         if self._is_hopeless(job, now) or wait > self._patience(job, now):
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -22,6 +22,7 @@
 from ragwortferry.mesh.splits import Splits
 from ragwortferry.platform.boot import Bounds
 from ragwortferry.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
+from ragwortferry.utils.outflow import Outflow
 from ragwortferry.utils.sockets import Address
 
 # Bytes of an answer up to which it is held until it is whole, so that an answer that
@@ -100,6 +101,7 @@
         placer: Placer,
         owner: Owner,
         peers: Peers,
+        outflow: Outflow,
         recorder: Recorder,
         address: Address,
         service: str,
@@ -121,7 +123,7 @@
         self._numbers = itertools.count(1)
         self._budgets: dict[str, RetryBudget] = {}
         self._splits = Splits(rng)
-        self._server = Server(self._handle, address.host, address.port)
+        self._server = Server(self._handle, address.host, address.port, outflow)
         # Longest time that callers of a route wait, and mean size of its answers.
         self._longest: dict[str, float] = {}
         self._sizes: dict[str, float] = {}
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -35,6 +35,8 @@
     :param accepting: whether new requests are taken at all.
     :param waits_ms: expected wait of a new request by its rank, in milliseconds.
     :param failing: share of recent requests that the upstream turned away or failed.
+    :param link_mbps: bandwidth of the instance's network link, in Mbit/s.
+    :param send_ms: time until the long answers that wait have left, in milliseconds.
     """
 
     running: int
@@ -44,6 +46,8 @@
     accepting: bool
     failing: float
     waits_ms: dict[int, float]
+    link_mbps: float
+    send_ms: float
 
 
 class Hello(Struct, tag=1, array_like=True):
--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/link.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ragwortferry.mesh.frames import Frame, decode_frame, encode_frame
+from ragwortferry.utils.outflow import PIECE_BYTES, Outflow, Stream
 
 LENGTH_BYTES = 4
 # Longest message: a compressed configuration or request body fits.
@@ -33,10 +34,14 @@
     :param handler: receives the messages.
     :param dialed: whether this node opened the connection.
     :param host: IP number of the peer, known later on an accepted connection.
+    :param outflow: accounts for what is sent, and keeps long answers back.
     """
 
-    def __init__(self, handler: LinkHandler, dialed: bool, host: str = ""):
+    def __init__(
+        self, handler: LinkHandler, dialed: bool, outflow: Outflow, host: str = ""
+    ):
         self._handler = handler
+        self._outflow = outflow
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._reason = ""
@@ -67,6 +72,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Take the connection in."""
         self._transport = transport
+        if self._outflow.paced:
+            transport.set_write_buffer_limits(high=PIECE_BYTES)
         self._handler.link_made(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -108,9 +115,22 @@
 
     def send(self, frame: Frame) -> None:
         """Send a message if the connection is open."""
+        data = _with_length(frame)
+        self._outflow.note(len(data))
+        self.write_piece(data)
+
+    def open_stream(self, size: int) -> Stream | None:
+        """Return a way for the messages of an answer, ``None`` if it needs none."""
+        return self._outflow.open(self) if self._outflow.holds_back(size) else None
+
+    def queue(self, stream: Stream, frame: Frame) -> None:
+        """Send a message after those that wait in a stream."""
+        stream.put(_with_length(frame))
+
+    def write_piece(self, data: bytes) -> None:
+        """Send bytes if the connection is open."""
         if not self.closed and self._transport:
-            data = encode_frame(frame)
-            self._transport.write(len(data).to_bytes(LENGTH_BYTES, "big") + data)
+            self._transport.write(data)
 
     def close(self, reason: str) -> None:
         """End the connection at once."""
@@ -124,3 +144,8 @@
         self.closed = True
         self._writable.set()
         self._handler.link_lost(self, reason)
+
+
+def _with_length(frame: Frame) -> bytes:
+    data = encode_frame(frame)
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -32,6 +32,7 @@
     spare_collector,
 )
 from ragwortferry.utils.clock import HybridClock
+from ragwortferry.utils.outflow import Outflow
 
 # Seconds between a stop signal and the earliest end: the platform asks for readiness
 # each second and stops sending callers after two misses.
@@ -104,10 +105,14 @@
         relay = kernel.add(
             "relay", Relay(knowledge, settings.host, settings.zone, log.part("relay"))
         )
+        outflow = kernel.add(
+            "outflow", Outflow(settings.link_mbps, asyncio.get_running_loop())
+        )
         owner = kernel.add(
             "owner",
             Owner(
                 knowledge,
+                outflow,
                 settings.target,
                 settings.host,
                 Recorder(log.part("owner"), metrics, settings.service),
@@ -122,7 +127,7 @@
                 relay,
                 settings.link,
                 settings.zone,
-                settings.link_mbps,
+                outflow,
                 self._incarnation,
                 log.part("link"),
                 self._rng,
@@ -133,9 +138,10 @@
             "entry",
             Entry(
                 knowledge,
-                Placer(settings.zone, self._rng),
+                Placer(settings.zone, settings.host, settings.link_mbps, self._rng),
                 owner,
                 peers,
+                outflow,
                 recorder,
                 settings.callers,
                 settings.service,
@@ -188,8 +194,9 @@
         entry.leave(began + latest - SETTLE_S)
         owner.leaving = True
         kernel.get("peers").tell_load()
+        outflow = kernel.get("outflow")
         while (spent := loop.time() - began) < latest:
-            if not owner.idle or entry.in_flight:
+            if not owner.idle or not outflow.idle or entry.in_flight:
                 quiet_since = loop.time()
             quiet = loop.time() - quiet_since > IDLE_CHECK_S
             if spent > LEAVE_S and quiet or spent > latest - SETTLE_S:
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -27,6 +27,7 @@
     SIGNATURE_HEADER,
     TARGET_HEADER,
 )
+from ragwortferry.utils.outflow import Outflow
 from ragwortferry.utils.sockets import Address
 
 # Slots assumed until the registry names the upstream: the smallest that is usual.
@@ -69,16 +70,20 @@
     def __init__(
         self,
         knowledge: Knowledge,
+        outflow: Outflow,
         target: Address | None,
         own_host: str,
         recorder: Recorder,
     ):
         self._knowledge = knowledge
+        self._outflow = outflow
         self._target = target
         self._recorder = recorder
         self._pool = Pool(target, own_host) if target else None
         self._admission = Admission(FIRST_SLOTS, self._expired)
         self._runs: dict[int, Run] = {}
+        # Mean size of the answers of each route, in bytes.
+        self._sizes: dict[str, float] = {}
         self._down_until = 0.0
         self._failing = 0.0
         self._ticker: asyncio.Task | None = None
@@ -114,6 +119,8 @@
             accepting,
             round(self._failing, 3),
             {rank: round(wait * 1000, 1) for rank, wait in waits.items()},
+            self._outflow.mbps,
+            round(self._outflow.wait_s * 1000, 1),
         )
 
     async def start(self) -> None:
@@ -133,12 +140,14 @@
     def submit(self, attempt: Attempt, sink: ReplySink) -> Run | None:
         """Take an attempt in; its answer or refusal goes to ``sink``."""
         now = asyncio.get_running_loop().time()
+        send_wait_s, transfer_s = self._sending(attempt.route)
         job = Job(
             attempt.route,
             attempt.priority,
-            attempt.objective,
-            attempt.deadline,
+            attempt.objective - transfer_s,
+            attempt.deadline - transfer_s,
             repeatable=attempt.repeatable,
+            send_wait_s=send_wait_s,
         )
         run = Run(attempt, sink, job)
         job.payload = run
@@ -154,6 +163,13 @@
         self._refuse(run, failure)
         return None
 
+    def _sending(self, route: str) -> tuple[float, float]:
+        """Return how long an answer will wait for the network link and take on it."""
+        size = self._sizes.get(route, 0.0)
+        if not self._outflow.holds_back(size):
+            return 0.0, 0.0
+        return self._outflow.wait_s, self._outflow.transfer_s(size)
+
     def cancel(self, run: Run) -> None:
         """Withdraw an attempt; an upstream at work on a repeatable one is released."""
         run.abandoned = True
@@ -188,11 +204,15 @@
         self._record(run, failure, 0)
         run.sink.on_reply_failed(failure, self.load())
 
-    def _record(self, run: Run, failure: Failure | None, status: int) -> None:
+    def _record(
+        self, run: Run, failure: Failure | None, status: int, size: int = 0
+    ) -> None:
         began = run.job.started_at
         now = asyncio.get_running_loop().time()
         note = {
             "status": status,
+            "bytes": size,
+            "send_ms": round(self._outflow.wait_s * 1000),
             "ran_ms": round((now - began) * 1000, 1) if run.job.running else 0.0,
             "running": self._admission.running,
             "queued": self._admission.queued,
@@ -225,6 +245,8 @@
             measured = exchange.ended and exchange.ran and not exchange.failed
             cut = exchange.cut
             self.ran += exchange.ran
+            if measured:
+                self._note_size(run.attempt.route, exchange.size)
             bad = exchange.failed or not exchange.ended
             self._failing += SMOOTHING * (bad - self._failing)
         except asyncio.CancelledError:
@@ -235,6 +257,10 @@
             self._runs.pop(id(run), None)
             self._start_next()
 
+    def _note_size(self, route: str, size: int) -> None:
+        known = self._sizes.get(route, float(size))
+        self._sizes[route] = known + SMOOTHING * (size - known)
+
     async def _exchange(self, run: Run, exchange: "_Exchange") -> None:
         """Send one attempt to the upstream and pass its answer on."""
         attempt = run.attempt
@@ -254,7 +280,7 @@
                 self._pool.release(connection)
             else:
                 connection.close()
-        self._record(run, failure, exchange.status)
+        self._record(run, failure, exchange.status, exchange.size)
         if failure is None:
             run.sink.on_reply_end(self.load())
         else:
@@ -293,6 +319,7 @@
         self.ended = False
         self.ran = False
         self.status = 0
+        self.size = 0
         # Whether the deadline ended the run.
         self.cut = False
         self.failed = False
@@ -333,6 +360,7 @@
 
     def on_data(self, data: bytes) -> None:
         """Pass a part of the body on."""
+        self.size += len(data)
         if self._passing:
             self._run.sink.on_reply_data(data)
 
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -34,6 +34,7 @@
     failure_of,
     submit_frame,
 )
+from ragwortferry.utils.outflow import FAST_MBPS, Outflow
 from ragwortferry.utils.pacing import Backoff
 from ragwortferry.utils.sockets import Address, connected_socket, listen
 
@@ -48,9 +49,6 @@
 # The same where a slow network link lies between: a single answer of half a megabyte
 # takes 1.4 s at 3 Mbit/s, and signs of life wait behind it.
 SLOW_SILENCE_S = 2.0
-# Bandwidth below which a network link is slow, in Mbit/s: at 100 the same answer takes
-# 0.04 s.
-SLOW_MBPS = 100.0
 # Seconds of silence after which an idle link is given up.
 IDLE_SILENCE_S = 3.0
 # Period of the check of all links, in seconds.
@@ -110,7 +108,7 @@
     """Keeps links to the nodes of the registry's upstreams.
 
     :param address: where this node accepts links; all nodes use the same port.
-    :param link_mbps: bandwidth of the own instance, in Mbit/s.
+    :param outflow: shares the bandwidth of the own instance.
     :param incarnation: name of this run of the process.
     """
 
@@ -122,7 +120,7 @@
         relay: Relay,
         address: Address,
         zone: str,
-        link_mbps: float,
+        outflow: Outflow,
         incarnation: str,
         log: Log,
         rng: random.Random,
@@ -133,12 +131,13 @@
         self._relay = relay
         self._address = address
         self._zone = zone
-        self._link_mbps = link_mbps
+        self._outflow = outflow
         self._incarnation = incarnation
         self._log = log
         self._rng = rng
         self._peers: dict[str, _Peer] = {}
-        self._accepted: dict[Link, dict[str, Run]] = {}
+        # Attempts of others at the own upstream, by their key.
+        self._accepted: dict[Link, dict[str, tuple[Run, LinkSink]]] = {}
         self._listener: asyncio.Server | None = None
         self._tokens = 0
         self.on_load: Callable[[str, Load], None] = lambda host, load: None
@@ -160,7 +159,9 @@
         """Accept links and look after them."""
         loop = asyncio.get_running_loop()
         sock = listen(self._address.host, self._address.port, BACKLOG)
-        self._listener = await loop.create_server(lambda: Link(self, False), sock=sock)
+        self._listener = await loop.create_server(
+            lambda: Link(self, False, self._outflow), sock=sock
+        )
         self._kernel.spawn(self._check(), "links")
 
     async def stop(self) -> None:
@@ -258,7 +259,8 @@
                 async with asyncio.timeout(DIAL_TIMEOUT_S):
                     sock = await connected_socket(peer.address, self._address.host)
                     _, link = await loop.create_connection(
-                        lambda: Link(self, True, peer.address.host), sock=sock
+                        lambda: Link(self, True, self._outflow, peer.address.host),
+                        sock=sock,
                     )
             except (OSError, TimeoutError):
                 peer.fail(loop.time())
@@ -309,17 +311,18 @@
                 link.dialed and link.host in self._relay.neighbours,
                 knowledge.version,
                 knowledge.revision,
-                self._link_mbps,
+                self._outflow.mbps,
             )
         )
 
     def link_lost(self, link: Link, reason: str) -> None:
         """End what depended on the link."""
         self._relay.forget(link)
-        for run in self._accepted.pop(link, {}).values():
+        for run, sink in self._accepted.pop(link, {}).values():
             self._owner.cancel(run)
-        peer = self._peers.get(link.host)
-        if peer is None or peer.link is not link:
+            sink.drop()
+        peer = self._dialed(link)
+        if peer is None:
             return
         peer.link = None
         peer.fail(asyncio.get_running_loop().time())
@@ -351,8 +354,7 @@
             case Submit():
                 self._submitted(link, frame)
             case Cancel():
-                if run := self._accepted.get(link, {}).pop(frame.key, None):
-                    self._owner.cancel(run)
+                self._cancelled(link, frame.key)
             case Hello():
                 link.host, link.zone = frame.host, frame.zone
                 link.relays, link.peer_mbps = frame.relays, frame.link_mbps
@@ -380,11 +382,16 @@
         )
 
     def _waiting(self, link: Link, key: str, last: bool = False) -> Waiting | None:
-        peer = self._peers.get(link.host)
-        if peer is None or peer.link is not link:
+        peer = self._dialed(link)
+        if peer is None:
             return None
         return peer.waiting.pop(key, None) if last else peer.waiting.get(key)
 
+    def _dialed(self, link: Link) -> _Peer | None:
+        """Return the peer that was dialed with a link, if it was."""
+        peer = self._peers.get(link.host)
+        return peer if peer is not None and peer.link is link else None
+
     def _submitted(self, link: Link, frame: Submit) -> None:
         runs = self._accepted.get(link)
         if runs is None:
@@ -392,7 +399,13 @@
         sink = LinkSink(link, frame.key, lambda key: runs.pop(key, None))
         run = self._owner.submit(attempt_of(frame, self._address.host), sink)
         if run is not None:
-            runs[frame.key] = run
+            runs[frame.key] = run, sink
+
+    def _cancelled(self, link: Link, key: str) -> None:
+        if found := self._accepted.get(link, {}).pop(key, None):
+            run, sink = found
+            self._owner.cancel(run)
+            sink.drop()
 
     async def _check(self) -> None:
         """Ask silent peers for a sign of life and give up those that send none."""
@@ -432,7 +445,7 @@
 
     def _busy_silence(self, link: Link) -> float:
         """Return the bound on the silence of a link with attempts that wait."""
-        slow = min(self._link_mbps, link.peer_mbps) < SLOW_MBPS
+        slow = min(self._outflow.mbps, link.peer_mbps) < FAST_MBPS
         return SLOW_SILENCE_S if slow else BUSY_SILENCE_S
 
     def _ping(self) -> Ping:
--- a/ragwortferry/mesh/placing.py
+++ b/ragwortferry/mesh/placing.py
@@ -14,6 +14,7 @@
 
 from ragwortferry.mesh.frames import Load
 from ragwortferry.mesh.model import Upstream
+from ragwortferry.utils.outflow import BYTES_PER_MBIT, PROMPT_BYTES
 
 # Weight of the newest measurement in a moving average.
 SMOOTHING = 0.1
@@ -72,11 +73,15 @@
     """Keeps views and picks upstreams.
 
     :param zone: own availability zone.
+    :param host: own IP number.
+    :param link_mbps: bandwidth of the own instance's network link, in Mbit/s.
     :param rng: breaks ties.
     """
 
-    def __init__(self, zone: str, rng: random.Random):
+    def __init__(self, zone: str, host: str, link_mbps: float, rng: random.Random):
         self._zone = zone
+        self._host = host
+        self._link_mbps = link_mbps
         self._rng = rng
         self._views: dict[str, View] = {}
 
@@ -119,6 +124,7 @@
         best, best_cost = None, float("inf")
         for item in usable or open_ones:
             cost = self.cost(item, objective_s, now, typical, priority)
+            cost += self._transfer_s(item, answer_bytes, now)
             if item.zone != self._zone:
                 cost += zone_cost
             if cost < best_cost:
@@ -181,6 +187,15 @@
         crowding = min(1.0, busy / max(1, slots))
         return wait, service * (1 + CROWDING * crowding)
 
+    def _transfer_s(self, upstream: Upstream, size: float, now: float) -> float:
+        """Return how long an answer takes over the network links, in seconds."""
+        load = self.view(upstream, now).load
+        local = upstream.address.host == self._host
+        if load is None or local or size <= PROMPT_BYTES:
+            return 0.0
+        slower = min(load.link_mbps, self._link_mbps)
+        return load.send_ms / 1000 + size / (slower * BYTES_PER_MBIT)
+
     def sent(self, upstream: Upstream, now: float) -> None:
         """Note that a request goes out."""
         self.view(upstream, now).sent += 1
--- a/ragwortferry/mesh/relay.py
+++ b/ragwortferry/mesh/relay.py
@@ -93,11 +93,14 @@
         """Return one link to each node beside this one."""
         chosen: dict[str, Link] = {}
         for link in self.links():
-            beside = link.relays or (link.dialed and link.host in self.neighbours)
-            if beside and link.host:
+            if self._beside(link) and link.host:
                 chosen.setdefault(link.host, link)
         return list(chosen.values())
 
+    def _beside(self, link: Link) -> bool:
+        """Return whether the peer stands beside this node in the tree."""
+        return link.relays or (link.dialed and link.host in self.neighbours)
+
     def _tell_document(self, document: Document) -> None:
         for link in self._targets():
             if link.peer_version >= document.version:
@@ -125,7 +128,7 @@
                 self._send_document(link)
             else:
                 link.send(Announce(knowledge.version, knowledge.revision))
-        if revision < knowledge.revision:
+        if revision < knowledge.revision and (self._beside(link) or not revision):
             link.send(_registry(knowledge.whole_registry()))
 
     def heard(self, link: Link, version: int, revision: int) -> None:
--- a/ragwortferry/mesh/remote.py
+++ b/ragwortferry/mesh/remote.py
@@ -9,6 +9,7 @@
 from ragwortferry.mesh.attempt import Attempt, Failure
 from ragwortferry.mesh.frames import Data, End, Failed, Head, Load, Submit
 from ragwortferry.mesh.link import Link
+from ragwortferry.utils.outflow import PIECE_BYTES, Stream
 
 
 class LinkSink:
@@ -18,24 +19,39 @@
         self._link = link
         self._key = key
         self._done = done
+        self._size = 0
+        # Set for an answer whose parts wait until the network link is free for them.
+        self._stream: Stream | None = None
+
+    def drop(self) -> None:
+        """Keep back what has not been sent: nobody waits for it."""
+        if self._stream is not None:
+            self._stream.drop()
 
     def on_reply_head(self, status, headers, length) -> None:
         """Send the head."""
         self._link.send(Head(self._key, status, headers, length))
+        self._stream = self._link.open_stream(length or 0)
 
     def on_reply_data(self, data: bytes) -> None:
         """Send a part of the body."""
-        self._link.send(Data(self._key, data))
+        self._size += len(data)
+        if self._stream is None:
+            self._stream = self._link.open_stream(self._size)
+        if self._stream is None:
+            self._link.send(Data(self._key, data))
+            return
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = Data(self._key, data[start : start + PIECE_BYTES])
+            self._link.queue(self._stream, piece)
 
     def on_reply_end(self, load: Load | None) -> None:
         """Send the end."""
-        self._done(self._key)
-        self._link.send(End(self._key, load))
+        self._send(End(self._key, load))
 
     def on_reply_failed(self, failure: Failure, load: Load | None) -> None:
         """Send the reason."""
-        self._done(self._key)
-        self._link.send(
+        self._send(
             Failed(
                 self._key,
                 str(failure.kind),
@@ -47,6 +63,14 @@
             )
         )
 
+    def _send(self, frame: End | Failed) -> None:
+        if self._stream is None:
+            self._done(self._key)
+            self._link.send(frame)
+        else:
+            self._stream.on_empty = lambda: self._done(self._key)
+            self._link.queue(self._stream, frame)
+
 
 def submit_frame(attempt: Attempt) -> Submit:
     """Return the message that asks an owner for an attempt."""
--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -10,6 +10,7 @@
 from ragwortferry.mesh.budget import RetryBudget
 from ragwortferry.mesh.placing import Placer
 from ragwortferry.tests.mesh_builders import a_load, an_upstream
+from ragwortferry.utils.sockets import Address
 
 
 def _job(now: float, priority: int = 2, objective=0.5, deadline=1.0, route="r") -> Job:
@@ -306,7 +307,7 @@
 
 
 def _placer() -> Placer:
-    return Placer("a", random.Random(3))
+    return Placer("a", "10.0.0.1", 1000.0, random.Random(3))
 
 
 def test_own_zone_goes_first_while_it_is_good_enough():
@@ -337,6 +338,24 @@
     assert max(counts.values()) <= 5
 
 
+def test_long_answer_comes_from_the_own_instance_if_the_network_is_slow():
+    placer = Placer("a", "10.0.0.1", 6.0, random.Random(3))
+    here = an_upstream("here", address=Address("10.0.0.1", 8147))
+    there = an_upstream("there", address=Address("10.0.0.2", 8147))
+    placer.reported(here, a_load(link_mbps=6.0, service_ms=150.0), 0.0)
+    placer.reported(there, a_load(link_mbps=6.0), 0.0)
+    assert placer.pick([here, there], (), 1.0, 0.1, 90_000).id == "here"
+    assert placer.pick([here, there], (), 1.0, 0.1, 1_000).id == "there"
+
+
+def test_long_answer_avoids_an_instance_that_has_much_to_send():
+    placer = Placer("a", "10.0.0.9", 6.0, random.Random(3))
+    full, free = an_upstream("full"), an_upstream("free")
+    placer.reported(full, a_load(link_mbps=6.0, send_ms=400.0), 0.0)
+    placer.reported(free, a_load(link_mbps=6.0, running=2), 0.0)
+    assert placer.pick([full, free], (), 1.0, 0.1, 90_000).id == "free"
+
+
 def test_failing_upstream_is_avoided_and_tried_again_later():
     placer = _placer()
     bad, good = an_upstream("bad"), an_upstream("good")
--- a/ragwortferry/mesh/tests/test_entry.py
+++ b/ragwortferry/mesh/tests/test_entry.py
@@ -13,6 +13,7 @@
 from ragwortferry.platform.config import decode_document
 from ragwortferry.tests.mesh_builders import (
     a_document,
+    an_outflow,
     an_upstream,
     silent_log,
 )
@@ -74,12 +75,13 @@
 def _entry(knowledge, peers, notes, nodes) -> Entry:
     rng = random.Random(1)
     address = Address("127.0.0.1", 0)
-    placer = Placer("a", rng)
+    placer = Placer("a", "10.0.0.1", 1000.0, rng)
     return Entry(
         knowledge,
         placer,
         None,
         peers,
+        an_outflow(),
         notes,
         address,
         "s",
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -12,6 +12,8 @@
     Announce,
     Cancel,
     Configuration,
+    Data,
+    End,
     Ping,
     Pull,
     Registry,
@@ -22,6 +24,7 @@
 from ragwortferry.mesh.peers import Peers, _Peer
 from ragwortferry.mesh.reader import LAPSE_S, Reader
 from ragwortferry.mesh.relay import HUBS, Relay
+from ragwortferry.mesh.remote import LinkSink
 from ragwortferry.platform.config import decode_document
 from ragwortferry.platform.store import (
     HistoryLostError,
@@ -32,6 +35,7 @@
 from ragwortferry.tests.mesh_builders import (
     a_config,
     an_entry,
+    an_outflow,
     an_upstream,
     silent_log,
 )
@@ -67,7 +71,7 @@
         rng = random.Random(5)
         for _ in range(50):
             collector = Collector()
-            link = Link(collector, True)
+            link = Link(collector, True, an_outflow())
             start = 0
             while start < len(data):
                 end = start + rng.randint(1, 30)
@@ -82,7 +86,7 @@
 def test_bytes_that_are_no_message_end_the_link(data):
     async def scenario():
         collector = Collector()
-        link = Link(collector, True)
+        link = Link(collector, True, an_outflow())
         link.data_received(len(data).to_bytes(LENGTH_BYTES, "big") + data)
         assert link.closed or collector.frames
 
@@ -316,7 +320,7 @@
         relay,
         address,
         "a",
-        mbps,
+        an_outflow(mbps),
         "incarnation",
         silent_log(),
         random.Random(1),
@@ -384,3 +388,46 @@
     peer.wanted = False
     peer.fail(1.0)
     assert not peer.wanted
+
+
+class StreamingLink(FakeLink):
+    """Keeps apart what is sent at once and what waits for the network link."""
+
+    def __init__(self, mbps):
+        super().__init__("10.0.0.2", "a")
+        self.outflow = an_outflow(mbps)
+        self.queued = []
+
+    def open_stream(self, size):
+        return self.outflow.open(self) if self.outflow.holds_back(size) else None
+
+    def queue(self, stream, frame):
+        self.queued.append(frame)
+
+
+@pytest.mark.parametrize("announced", [True, False])
+def test_short_answer_does_not_wait_for_the_network_link(announced):
+    link, ended = StreamingLink(3.0), []
+    sink = LinkSink(link, "k", ended.append)
+    sink.on_reply_head(200, [], 600 if announced else None)
+    sink.on_reply_data(b"a" * 600)
+    sink.on_reply_end(None)
+    assert [type(frame).__name__ for frame in link.sent] == ["Head", "Data", "End"]
+    assert not link.queued
+    assert ended == ["k"]
+
+
+@pytest.mark.parametrize("announced", [True, False])
+def test_long_answer_waits_for_the_network_link_and_stays_in_order(announced):
+    link, ended = StreamingLink(3.0), []
+    sink = LinkSink(link, "k", ended.append)
+    body = bytes(range(256)) * 400
+    sink.on_reply_head(200, [], len(body) if announced else None)
+    for start in range(0, len(body), 10_000):
+        sink.on_reply_data(body[start : start + 10_000])
+    sink.on_reply_end(None)
+    frames = link.sent + link.queued
+    assert b"".join(f.data for f in frames if isinstance(f, Data)) == body
+    assert isinstance(link.queued[-1], End)
+    assert len(link.sent) <= 2
+    assert all(len(f.data) <= 8_192 for f in link.queued[:-1])
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -1,20 +1,25 @@
 """Builders of test data for nodes on the platform."""
 
 __all__ = [
+    "ManualLoop",
     "a_config",
     "a_document",
     "a_route",
     "an_entry",
+    "an_outflow",
     "an_upstream",
     "silent_log",
 ]
 
+import heapq
+import itertools
 import json
 
 from ragwortferry.logs import Log, LogContext
 from ragwortferry.mesh.frames import Load
 from ragwortferry.mesh.model import Destination, Document, Limits, Route, Upstream
 from ragwortferry.utils.clock import HybridClock
+from ragwortferry.utils.outflow import Outflow
 from ragwortferry.utils.sockets import Address
 
 
@@ -70,10 +75,47 @@
         "accepting": True,
         "failing": 0.0,
         "waits_ms": {},
+        "link_mbps": 1000.0,
+        "send_ms": 0.0,
     }
     return Load(**{**values, **changes})
 
 
+class ManualLoop:
+    """A loop whose time passes in :meth:`run_until` only."""
+
+    def __init__(self):
+        self._now = 0.0
+        self._numbers = itertools.count()
+        self._calls = []
+
+    def time(self) -> float:
+        """Return the present time."""
+        return self._now
+
+    def call_at(self, when, callback, *args):
+        """Call back at a time."""
+        heapq.heappush(self._calls, (when, next(self._numbers), callback, args))
+        return self
+
+    def call_later(self, delay, callback, *args):
+        """Call back after a time."""
+        return self.call_at(self._now + delay, callback, *args)
+
+    def run_until(self, end: float) -> None:
+        """Let time pass."""
+        while self._calls and self._calls[0][0] <= end:
+            when, _, callback, args = heapq.heappop(self._calls)
+            self._now = max(self._now, when)
+            callback(*args)
+        self._now = end
+
+
+def an_outflow(mbps: float = 1000.0) -> Outflow:
+    """Return the outflow of an instance, on a loop of its own."""
+    return Outflow(mbps, ManualLoop())
+
+
 def an_entry(**changes) -> bytes:
     """Return an entry as an upstream writes it."""
     entry = {
--- /dev/null
+++ b/ragwortferry/utils/tests/test_outflow.py
@@ -0,0 +1,133 @@
+"""Long answers and short messages on one network link, without a network."""
+
+import random
+
+import pytest
+
+from ragwortferry.tests.mesh_builders import ManualLoop
+from ragwortferry.utils.outflow import BYTES_PER_MBIT, PIECE_BYTES, Outflow
+
+SLOW_MBPS = 6.0
+EXPORT_BYTES = 90_000
+CALL_BYTES = 1_500
+# Latency objective of a call less the time that it runs, on the slowest link.
+CALL_BOUND_S = 0.4
+# The same for an export.
+EXPORT_BOUND_S = 1.25
+
+
+class NetworkLink:
+    """Sends bytes in the order in which they come, at its bandwidth."""
+
+    def __init__(self, loop: ManualLoop, mbps: float):
+        self._loop = loop
+        self._rate = mbps * BYTES_PER_MBIT
+        self.free_at = 0.0
+        self.congested = False
+        self.written = []
+
+    def write_piece(self, data: bytes) -> None:
+        """Take bytes."""
+        self.free_at = max(self.free_at, self._loop.time()) + len(data) / self._rate
+        self.written.append((self._loop.time(), data))
+
+    @property
+    def wait_s(self) -> float:
+        """Return how long the next byte waits."""
+        return max(0.0, self.free_at - self._loop.time())
+
+
+def _play(paced: bool) -> tuple[list[float], list[float]]:
+    """Return the times that calls and exports take to leave, in seconds.
+
+    The load is that of an owner of exports: three fifths of the link in long answers
+    that come at random, and a tenth of it in short ones.
+    """
+    loop = ManualLoop()
+    outflow = Outflow(SLOW_MBPS, loop)
+    network = NetworkLink(loop, SLOW_MBPS)
+    rng = random.Random(4)
+    calls, exports = [], []
+
+    def export() -> None:
+        loop.call_later(rng.expovariate(5.0), export)
+        began = loop.time()
+        size = int(rng.lognormvariate(0, 0.6) * EXPORT_BYTES * 0.83)
+        if not paced:
+            network.write_piece(bytes(size))
+            exports.append(network.wait_s)
+            return
+        stream = outflow.open(network)
+        stream.put_all(bytes(size))
+        stream.on_empty = lambda: exports.append(loop.time() - began + network.wait_s)
+
+    def call() -> None:
+        loop.call_later(rng.expovariate(40.0), call)
+        outflow.note(CALL_BYTES)
+        network.write_piece(bytes(CALL_BYTES))
+        calls.append(network.wait_s)
+
+    export()
+    call()
+    loop.run_until(120.0)
+    return sorted(calls), sorted(exports)
+
+
+def test_calls_do_not_wait_for_exports():
+    calls, exports = _play(paced=True)
+    assert calls[int(0.99 * len(calls))] < CALL_BOUND_S / 4
+    assert exports[int(0.9 * len(exports))] < EXPORT_BOUND_S
+
+
+def test_calls_wait_for_exports_that_are_not_kept_back():
+    calls, _ = _play(paced=False)
+    assert calls[int(0.99 * len(calls))] > CALL_BOUND_S
+
+
+def test_answers_leave_in_the_order_in_which_they_came():
+    loop = ManualLoop()
+    outflow, network = Outflow(SLOW_MBPS, loop), NetworkLink(loop, SLOW_MBPS)
+    for name in (b"a", b"b"):
+        stream = outflow.open(network)
+        for _ in range(3):
+            stream.put(name * PIECE_BYTES)
+    loop.run_until(1.0)
+    assert [data[:1] for _, data in network.written] == [b"a"] * 3 + [b"b"] * 3
+    assert outflow.idle
+    assert outflow.waiting_bytes == 0
+
+
+def test_answer_that_nobody_waits_for_takes_no_bandwidth():
+    loop = ManualLoop()
+    outflow, network = Outflow(SLOW_MBPS, loop), NetworkLink(loop, SLOW_MBPS)
+    first, second = outflow.open(network), outflow.open(network)
+    for _ in range(4):
+        first.put(b"a" * PIECE_BYTES)
+    second.put(b"b" * PIECE_BYTES)
+    first.drop()
+    loop.run_until(1.0)
+    assert [data[:1] for _, data in network.written] == [b"a", b"b"]
+    assert outflow.waiting_bytes == 0
+
+
+def test_peer_that_reads_slowly_does_not_hold_up_the_others():
+    loop = ManualLoop()
+    outflow = Outflow(SLOW_MBPS, loop)
+    slow, quick = NetworkLink(loop, SLOW_MBPS), NetworkLink(loop, SLOW_MBPS)
+    slow.congested = True
+    outflow.open(slow).put(b"a" * PIECE_BYTES)
+    outflow.open(quick).put(b"b" * PIECE_BYTES)
+    loop.run_until(0.1)
+    assert not slow.written
+    assert quick.written
+    slow.congested = False
+    loop.run_until(0.2)
+    assert slow.written
+
+
+@pytest.mark.parametrize("mbps, paced", [(3.0, True), (50.0, True), (1000.0, False)])
+def test_only_slow_links_are_paced(mbps, paced):
+    outflow = Outflow(mbps, ManualLoop())
+    assert outflow.paced is paced
+    assert outflow.holds_back(EXPORT_BYTES) is paced
+    assert not outflow.holds_back(CALL_BYTES)
