Let a node that is behind ask one peer, and a new one its seeds

Change: a node that sees that it is behind asks one peer at a time and gets the changes since its revision; a peer sends unasked only in its tree. The role serves control_plane, so settings name seeds: a new node asks them before the store.

Conclusion: repair by whoever is ahead grows with the square of the nodes; repair by whoever is behind does not.

--- a/ragwortferry/mesh/knowledge.py
+++ b/ragwortferry/mesh/knowledge.py
@@ -50,6 +50,8 @@
         self._log = log
         self._upstreams: dict[str, Upstream] = {}
         self._removed: dict[str, int] = {}
+        # Highest revision of a removal that is not remembered.
+        self._forgotten = 0
         self._services: dict[str, list[Upstream]] | None = None
         self._packed = b""
         self._refused: set[int] = set()
@@ -150,6 +152,8 @@
         for name, revision in removals.items():
             self._remove(name, revision, applied)
         if complete and change.revision > self.revision:
+            if change.since == 0:
+                self._forgotten = change.revision
             self.revision = change.revision
         applied.revision = self.revision
         if applied.upstreams or applied.removed:
@@ -157,9 +161,16 @@
             self._tell(applied, origin)
         return complete
 
-    def whole_registry(self) -> RegistryChange:
-        """Return all that is known as one change."""
-        return RegistryChange(0, self.revision, list(self._upstreams.values()))
+    def changes_since(self, revision: int) -> RegistryChange:
+        """Return what has changed after a revision, or all that is known as one change.
+
+        The whole is returned if removals after ``revision`` may have been forgotten.
+        """
+        if not revision or revision < self._forgotten:
+            return RegistryChange(0, self.revision, list(self._upstreams.values()))
+        upstreams = [u for u in self._upstreams.values() if u.revision > revision]
+        removed = {name: at for name, at in self._removed.items() if at > revision}
+        return RegistryChange(revision, self.revision, upstreams, removed)
 
     def _is_news(self, item: Upstream) -> bool:
         known = self._upstreams.get(item.id)
@@ -175,7 +186,8 @@
             return
         self._removed[name] = revision
         while len(self._removed) > MAX_REMOVALS:
-            del self._removed[next(iter(self._removed))]
+            forgotten = self._removed.pop(next(iter(self._removed)))
+            self._forgotten = max(self._forgotten, forgotten)
         if known is not None:
             del self._upstreams[name]
         applied.removed[name] = revision
--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/link.py
@@ -55,7 +55,8 @@
         # Bandwidth of the peer's instance, in Mbit/s.
         self.peer_mbps = float("inf")
         self.peer_version = 0
-        self.peer_revision = 0
+        # -1 until it has greeted.
+        self.peer_revision = -1
         self.peer_store_served = True
         self.heard_at = self._loop.time()
         self.closed = False
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -102,9 +102,7 @@
         )
         metrics = kernel.add("metrics", NodeMetrics(settings.name, settings.zone))
         store = Store(settings.store, settings.host)
-        relay = kernel.add(
-            "relay", Relay(knowledge, settings.host, settings.zone, log.part("relay"))
-        )
+        relay = kernel.add("relay", Relay(knowledge, settings.host, settings.zone))
         outflow = kernel.add(
             "outflow", Outflow(settings.link_mbps, asyncio.get_running_loop())
         )
@@ -126,6 +124,7 @@
                 owner,
                 relay,
                 settings.link,
+                settings.seeds,
                 settings.zone,
                 outflow,
                 self._incarnation,
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -3,6 +3,7 @@
 __all__ = ["Peers"]
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -62,6 +63,11 @@
 # Seconds by which a late check is not held against the peers.
 LATE_CHECK_S = 0.2
 NEVER = float("inf")
+# Seconds after the start for which the state is awaited from seeds before the store is
+# asked for it: a seed that starts at the same time has read it within half a second.
+SEEK_S = 1.5
+# Seconds after which another seed is asked.
+SEED_TURN_S = 0.5
 # Nodes of the own zone up to which all are dialed ahead of requests.
 MAX_EAGER = 40
 
@@ -108,6 +114,7 @@
     """Keeps links to the nodes of the registry's upstreams.
 
     :param address: where this node accepts links; all nodes use the same port.
+    :param seeds: IP numbers of nodes to ask for the state at the start.
     :param outflow: shares the bandwidth of the own instance.
     :param incarnation: name of this run of the process.
     """
@@ -119,6 +126,7 @@
         owner: Owner,
         relay: Relay,
         address: Address,
+        seeds: tuple[str, ...],
         zone: str,
         outflow: Outflow,
         incarnation: str,
@@ -131,6 +139,10 @@
         self._relay = relay
         self._address = address
         self._zone = zone
+        self._seeds = [host for host in seeds if host != address.host]
+        # A seed reads the store at once: the others wait for it.
+        self._is_seed = address.host in seeds
+        self._seek_until = NEVER
         self._outflow = outflow
         self._incarnation = incarnation
         self._log = log
@@ -163,6 +175,18 @@
             lambda: Link(self, False, self._outflow), sock=sock
         )
         self._kernel.spawn(self._check(), "links")
+        self._seek_until = loop.time() + SEEK_S
+        if self._seeds:
+            self._kernel.spawn(self._seek(), "seeds")
+
+    async def _seek(self) -> None:
+        """Link up with one seed after the other until one has given the state."""
+        self._rng.shuffle(self._seeds)
+        for host in itertools.cycle(self._seeds):
+            if self._knowledge.ready:
+                return
+            self._peer(host)
+            await asyncio.sleep(SEED_TURN_S)
 
     async def stop(self) -> None:
         """Close all links."""
@@ -175,6 +199,13 @@
         for link in self.links:
             link.close("stopping")
 
+    @property
+    def seeking(self) -> bool:
+        """Return whether the state may still come from a seed."""
+        if self._knowledge.ready or not self._seeds or self._is_seed:
+            return False
+        return asyncio.get_running_loop().time() < self._seek_until
+
     @property
     def tried(self) -> bool:
         """Return whether each peer was dialed once, with success or without."""
@@ -317,7 +348,6 @@
 
     def link_lost(self, link: Link, reason: str) -> None:
         """End what depended on the link."""
-        self._relay.forget(link)
         for run, sink in self._accepted.pop(link, {}).values():
             self._owner.cancel(run)
             sink.drop()
--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -67,7 +67,7 @@
     def reading(self) -> bool:
         """Return whether this node has to read the store now."""
         if not self._knowledge.ready:
-            return True
+            return not self._peers.seeking
         alive = {link.host for link in self._peers.links if link.peer_store_served}
         return self._relay.is_reader(alive)
 
--- a/ragwortferry/mesh/relay.py
+++ b/ragwortferry/mesh/relay.py
@@ -2,8 +2,9 @@
 
 Nodes of a zone stand in a tree by hash order. A node sends what is new to the nodes
 beside it in the tree: whole in its zone, announced to other zones, where it is fetched
-if it does not come another way. Nodes that are behind show it in their signs of life
-and are brought up to date by whoever hears it.
+if it does not come another way. A node that sees in the signs of life of a peer that it
+is behind asks that peer; it asks one at a time, so that a change never brings it the
+same state from all its peers.
 """
 
 __all__ = ["Relay"]
@@ -11,7 +12,6 @@
 import asyncio
 from collections.abc import Iterable
 
-from ragwortferry.logs import Log
 from ragwortferry.mesh.frames import Announce, Configuration, Frame, Pull, Registry
 from ragwortferry.mesh.knowledge import Knowledge, RegistryChange
 from ragwortferry.mesh.link import Link
@@ -22,8 +22,11 @@
 FANOUT = 8
 # Nodes of each zone that read the store and are linked to those of other zones.
 HUBS = 2
-# Seconds for which an announced version may still come from the own zone.
+# Seconds for which what a peer has may still come from the own zone.
 PULL_DELAY_S = 0.25
+# Seconds between two requests for state: the answer to one takes a part of this even
+# over a slow network link.
+PULL_PAUSE_S = 0.5
 
 
 class Relay:
@@ -33,14 +36,13 @@
     :param zone: own availability zone.
     """
 
-    def __init__(self, knowledge: Knowledge, host: str, zone: str, log: Log):
+    def __init__(self, knowledge: Knowledge, host: str, zone: str):
         self._knowledge = knowledge
         self._host = host
         self._zone = zone
-        self._log = log
         self._zones: dict[str, list[str]] = {}
-        self._behind: dict[Link, tuple[int, int]] = {}
-        self._pulling = False
+        self._pulled_at = -PULL_PAUSE_S
+        self._pull_planned = False
         self.links = lambda: []
         self.neighbours: set[str] = set()
         self.store_served = True
@@ -97,12 +99,22 @@
                 chosen.setdefault(link.host, link)
         return list(chosen.values())
 
+    def _blank(self, targets: list[Link]) -> list[Link]:
+        """Return one link to each further node that has started without any state."""
+        told = {link.host for link in targets}
+        blank = {}
+        for link in self.links():
+            if link.host and link.host not in told and not link.peer_revision:
+                blank.setdefault(link.host, link)
+        return list(blank.values())
+
     def _beside(self, link: Link) -> bool:
         """Return whether the peer stands beside this node in the tree."""
         return link.relays or (link.dialed and link.host in self.neighbours)
 
     def _tell_document(self, document: Document) -> None:
-        for link in self._targets():
+        targets = self._targets()
+        for link in [*targets, *self._blank(targets)]:
             if link.peer_version >= document.version:
                 continue
             if link.zone == self._zone:
@@ -112,41 +124,61 @@
 
     def _tell_registry(self, change: RegistryChange) -> None:
         frame = _registry(change)
-        for link in self._targets():
+        targets = self._targets()
+        for link in targets:
             link.send(frame)
+        for link in self._blank(targets):
+            self._send_registry(link, 0)
 
     def _send_document(self, link: Link) -> None:
         link.peer_version = max(link.peer_version, self._knowledge.version)
         link.send(Configuration(self._knowledge.version, self._knowledge.packed))
 
+    def _send_registry(self, link: Link, since: int) -> None:
+        link.peer_revision = max(link.peer_revision, self._knowledge.revision)
+        link.send(_registry(self._knowledge.changes_since(since)))
+
     def greeted(self, link: Link, version: int, revision: int) -> None:
-        """Bring a node up to date that has just linked up."""
+        """Bring a node beside this one up to date, or ask it for what is newer."""
         link.peer_version, link.peer_revision = version, revision
         knowledge = self._knowledge
-        if version < knowledge.version:
-            if link.zone == self._zone or not version:
-                self._send_document(link)
-            else:
-                link.send(Announce(knowledge.version, knowledge.revision))
-        if revision < knowledge.revision and (self._beside(link) or not revision):
-            link.send(_registry(knowledge.whole_registry()))
+        if self._beside(link):
+            if version < knowledge.version:
+                if link.zone == self._zone:
+                    self._send_document(link)
+                else:
+                    link.send(Announce(knowledge.version, knowledge.revision))
+            if revision < knowledge.revision:
+                self._send_registry(link, revision)
+        self.heard(link, version, revision)
 
     def heard(self, link: Link, version: int, revision: int) -> None:
-        """Bring a node up to date that was behind at two signs of life in a row."""
+        """Note what a peer has, and ask it for that if it does not come another way."""
         link.peer_version = max(link.peer_version, version)
-        link.peer_revision = revision
+        link.peer_revision = max(link.peer_revision, revision)
         knowledge = self._knowledge
-        behind = version < knowledge.version, revision < knowledge.revision
-        seen = self._behind.pop(link, None)
-        if not any(behind):
+        if version <= knowledge.version and revision <= knowledge.revision:
             return
-        if seen != (version, revision):
-            self._behind[link] = (version, revision)
+        if not knowledge.ready:
+            self._pull(link)
+        elif not self._pull_planned:
+            self._pull_planned = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(PULL_DELAY_S, self._pull_newer, link, version, revision)
+
+    def _pull_newer(self, link: Link, version: int, revision: int) -> None:
+        self._pull_planned = False
+        knowledge = self._knowledge
+        if knowledge.version < version or knowledge.revision < revision:
+            self._pull(link)
+
+    def _pull(self, link: Link) -> None:
+        """Ask one peer at a time for what it has."""
+        now = asyncio.get_running_loop().time()
+        if link.closed or now < self._pulled_at + PULL_PAUSE_S:
             return
-        if behind[0]:
-            self._send_document(link)
-        if behind[1]:
-            link.send(_registry(knowledge.whole_registry()))
+        self._pulled_at = now
+        link.send(Pull(self._knowledge.version, self._knowledge.revision))
 
     def frame(self, link: Link, frame: Frame) -> None:
         """Take in state, or an announcement of it."""
@@ -162,23 +194,12 @@
                 if not self._knowledge.learn_registry(change, link.host):
                     link.send(Pull(self._knowledge.version, self._knowledge.revision))
             case Announce():
-                link.peer_version = max(link.peer_version, frame.version)
-                if frame.version > self._knowledge.version:
-                    loop = asyncio.get_running_loop()
-                    loop.call_later(PULL_DELAY_S, self._pull, link, frame.version)
+                self.heard(link, frame.version, 0)
             case Pull():
                 if frame.version < self._knowledge.version:
                     self._send_document(link)
                 if frame.revision < self._knowledge.revision:
-                    link.send(_registry(self._knowledge.whole_registry()))
-
-    def _pull(self, link: Link, version: int) -> None:
-        if self._knowledge.version < version and not link.closed:
-            link.send(Pull(self._knowledge.version, self._knowledge.revision))
-
-    def forget(self, link: Link) -> None:
-        """Drop what is kept for a link that is gone."""
-        self._behind.pop(link, None)
+                    self._send_registry(link, frame.revision)
 
 
 def _registry(change: RegistryChange) -> Registry:
--- a/ragwortferry/mesh/tests/test_knowledge.py
+++ b/ragwortferry/mesh/tests/test_knowledge.py
@@ -87,3 +87,28 @@
     )
     assert (told[1].since, told[1].revision) == (3, 7)
     assert [item.id for item in told[1].upstreams] == ["i-2"]
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("limit", [3, 1000])
+def test_changes_since_any_revision_lead_to_the_same_state(monkeypatch, seed, limit):
+    monkeypatch.setattr("ragwortferry.mesh.knowledge.MAX_REMOVALS", limit)
+    rng = random.Random(seed)
+    ahead = Knowledge(decode_document, silent_log())
+    behind = {}
+    names = [f"i-{n}" for n in range(8)]
+    for revision in range(1, 60):
+        name = rng.choice(names)
+        if name in ahead.upstreams and rng.random() < 0.5:
+            change = RegistryChange(revision - 1, revision, [], {name: revision})
+        else:
+            item = an_upstream(name, revision=revision, draining=rng.random() < 0.3)
+            change = RegistryChange(revision - 1, revision, [item])
+        ahead.learn_registry(change, "store")
+        copy = Knowledge(decode_document, silent_log())
+        copy.learn_registry(ahead.changes_since(0), "peer")
+        behind[revision] = copy
+    for revision, node in behind.items():
+        assert node.learn_registry(ahead.changes_since(revision), "peer")
+        assert node.upstreams == ahead.upstreams
+        assert node.revision == ahead.revision
--- a/ragwortferry/mesh/tests/test_nodes.py
+++ b/ragwortferry/mesh/tests/test_nodes.py
@@ -9,7 +9,7 @@
 from ragwortferry.record.explain import explain_request
 from ragwortferry.record.lines import read_lines
 from ragwortferry.tests.mesh_builders import a_config
-from standins.mesh import Mesh
+from standins.mesh import POLL_S, READY_PORT, Mesh
 
 SUBNETS = itertools.count(1)
 LIMIT_S = 60
@@ -136,6 +136,34 @@
     play(scenario)
 
 
+def test_new_node_learns_from_a_seed_while_the_store_is_away(play):
+    async def scenario(mesh):
+        mesh.store.fault = "busy"
+        gone = mesh.machines[1]
+        await mesh.end(gone, signal.SIGKILL)
+        seeds = (gone, mesh.machines[0])
+        machine = await mesh.add("tablero", "b", register=False, seeds=seeds)
+        await mesh.until(lambda: mesh.lines(machine, "enforced"))
+        while await mesh.page(machine, READY_PORT, "/-/ready") is None:
+            await asyncio.sleep(POLL_S)
+        assert (await mesh.ask(machine, "/panels/1", "r1"))[0] == 200
+        assert mesh.lines(machine, "enforced")[0]["origin"] == mesh.machines[0].host
+
+    play(scenario)
+
+
+def test_new_node_with_seeds_learns_from_one_of_them_first(play):
+    async def scenario(mesh):
+        seeds = (mesh.machines[0], mesh.machines[3])
+        machine = await mesh.add("tablero", "a", seeds=seeds)
+        await mesh.ready(machine)
+        hosts = {seed.host for seed in seeds}
+        assert mesh.lines(machine, "enforced")[0]["origin"] in hosts
+        assert mesh.lines(machine, "registry")[0]["origin"] in hosts
+
+    play(scenario)
+
+
 def test_draining_upstream_gets_no_new_work(play):
     async def scenario(mesh):
         leaving = mesh.machines[0]
--- a/ragwortferry/platform/boot.py
+++ b/ragwortferry/platform/boot.py
@@ -67,6 +67,8 @@
     provider: _Provider
     internal_port_range: tuple[int, int]
     service: str = ""
+    # Control addresses of up to three nodes, which may be gone.
+    seeds: list[str] = []
     # The address of the upstream beside this process.
     app_addr: str = ""
     # The period at which upstreams write their entries.
@@ -82,6 +84,8 @@
     :param target: the upstream beside this node, ``None`` without one.
     :param service: service of that upstream.
     :param link: where this node accepts links; peers use the same port.
+    :param seeds: IP numbers of nodes that a new one may ask for the state; they may be
+        gone.
     :param store: address of the platform's store.
     :param link_mbps: bandwidth of the instance's network link, in Mbit/s.
     """
@@ -95,6 +99,7 @@
     callers: Address
     readiness: Address
     link: Address
+    seeds: tuple[str, ...]
     store: Address
     store_reads_per_s: float
     memory_mb: float
@@ -137,6 +142,7 @@
         callers=_address(boot.listen.outbound),
         readiness=_address(boot.listen.ready),
         link=_address(boot.listen.inbound),
+        seeds=tuple(_address(text).host for text in boot.seeds),
         store=_address(boot.provider.address),
         store_reads_per_s=boot.provider.reads_per_s,
         memory_mb=boot.limits.memory_mb,
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -36,6 +36,7 @@
 service = "{service}"
 app_addr = "{host}:{upstream}"
 heartbeat_s = 1.5
+seeds = {seeds}
 [listen]
 inbound = "{host}:{link}"
 outbound = "{host}:{callers}"
@@ -100,8 +101,17 @@
         for service, zone in layout:
             await self.add(service, zone)
 
-    async def add(self, service: str, zone: str, register: bool = True) -> Machine:
-        """Start one more upstream and its node."""
+    async def add(
+        self,
+        service: str,
+        zone: str,
+        register: bool = True,
+        seeds: tuple[Machine, ...] = (),
+    ) -> Machine:
+        """Start one more upstream and its node.
+
+        :param seeds: machines whose nodes the new one may ask for the state.
+        """
         number = len(self.machines) + 1
         host = f"127.{NETWORK}.{self.subnet}.{number}"
         upstream = UpstreamStandin(f"i-{number}", service, zone)
@@ -121,6 +131,7 @@
                 host=host,
                 zone=zone,
                 service=service,
+                seeds=json.dumps([f"{seed.host}:{LINK_PORT}" for seed in seeds]),
                 upstream=UPSTREAM_PORT,
                 callers=CALLERS_PORT,
                 ready=READY_PORT,
