Let the port of peers be set, for networks that map ports

Cause: the fault soak needs a proxy between any two nodes; all of them listen on one port and dial the same one, so nothing can stand between.

Ruled out: proxies under addresses of their own in the registry (a node then no longer finds itself there, and tree and local placing are not those of a deployment).

Change: RAGWORTFERRY_PEER_PORT names the port that is dialed; without it nothing changes.

--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -124,6 +124,7 @@
                 owner,
                 relay,
                 settings.link,
+                settings.peer_port,
                 settings.seeds,
                 settings.zone,
                 outflow,
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -113,7 +113,8 @@
 class Peers:
     """Keeps links to the nodes of the registry's upstreams.
 
-    :param address: where this node accepts links; all nodes use the same port.
+    :param address: where this node accepts links.
+    :param peer_port: where all other nodes do.
     :param seeds: IP numbers of nodes to ask for the state at the start.
     :param outflow: shares the bandwidth of the own instance.
     :param incarnation: name of this run of the process.
@@ -126,6 +127,7 @@
         owner: Owner,
         relay: Relay,
         address: Address,
+        peer_port: int,
         seeds: tuple[str, ...],
         zone: str,
         outflow: Outflow,
@@ -138,6 +140,7 @@
         self._owner = owner
         self._relay = relay
         self._address = address
+        self._peer_port = peer_port
         self._zone = zone
         self._seeds = [host for host in seeds if host != address.host]
         # A seed reads the store at once: the others wait for it.
@@ -261,7 +264,7 @@
     def _peer(self, host: str) -> _Peer:
         peer = self._peers.get(host)
         if peer is None:
-            peer = self._peers[host] = _Peer(Address(host, self._address.port))
+            peer = self._peers[host] = _Peer(Address(host, self._peer_port))
         if peer.task is None or peer.task.done():
             peer.wanted = True
             peer.task = self._kernel.spawn(self._keep(peer), f"dial {host}")
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -389,6 +389,7 @@
         None,
         relay,
         address,
+        8145,
         (),
         "a",
         an_outflow(mbps),
--- a/ragwortferry/platform/boot.py
+++ b/ragwortferry/platform/boot.py
@@ -12,7 +12,7 @@
 from msgspec import Struct, field
 
 from ragwortferry.exceptions import SettingsError
-from ragwortferry.platform.names import SETTINGS_VARIABLE
+from ragwortferry.platform.names import PEER_PORT_VARIABLE, SETTINGS_VARIABLE
 from ragwortferry.utils.sockets import Address
 
 
@@ -84,6 +84,7 @@
     :param target: the upstream beside this node, ``None`` without one.
     :param service: service of that upstream.
     :param link: where this node accepts links; peers use the same port.
+    :param peer_port: port at which other nodes are dialed.
     :param seeds: IP numbers of nodes that a new one may ask for the state; they may be
         gone.
     :param store: address of the platform's store.
@@ -99,6 +100,7 @@
     callers: Address
     readiness: Address
     link: Address
+    peer_port: int
     seeds: tuple[str, ...]
     store: Address
     store_reads_per_s: float
@@ -117,21 +119,24 @@
     return Path(environ[SETTINGS_VARIABLE])
 
 
-def load_node_settings(path: Path) -> NodeSettings:
-    """Read and check the settings file.
+def load_node_settings(
+    path: Path, environ: Mapping[str, str] = os.environ
+) -> NodeSettings:
+    """Read and check the settings file, and the settings of our own in the environment.
 
     :raises SettingsError: if it cannot be read or a value is missing or wrong.
     """
     try:
         boot = msgspec.convert(tomllib.loads(path.read_text()), _Boot, strict=False)
-        return _checked(boot)
+        return _checked(boot, environ)
     except OSError as error:
         raise SettingsError(f"cannot read {path}: {error.strerror}") from None
     except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
         raise SettingsError(f"{path}: {error}") from None
 
 
-def _checked(boot: _Boot) -> NodeSettings:
+def _checked(boot: _Boot, environ: Mapping[str, str]) -> NodeSettings:
+    link = _address(boot.listen.inbound)
     return NodeSettings(
         name=boot.node,
         zone=boot.zone,
@@ -141,7 +146,8 @@
         target=_address(boot.app_addr) if boot.app_addr else None,
         callers=_address(boot.listen.outbound),
         readiness=_address(boot.listen.ready),
-        link=_address(boot.listen.inbound),
+        link=link,
+        peer_port=int(environ.get(PEER_PORT_VARIABLE, link.port)),
         seeds=tuple(_address(text).host for text in boot.seeds),
         store=_address(boot.provider.address),
         store_reads_per_s=boot.provider.reads_per_s,
--- a/ragwortferry/platform/names.py
+++ b/ragwortferry/platform/names.py
@@ -6,6 +6,7 @@
     "DEADLINE_HEADER",
     "HEALTH_INSTANCE_HEADER",
     "NOT_RUN_HEADER",
+    "PEER_PORT_VARIABLE",
     "READY_PATH",
     "REGISTRY_PREFIX",
     "REQUEST_ID_HEADER",
@@ -15,6 +16,9 @@
 ]
 
 SETTINGS_VARIABLE = "RAGWORTFERRY_SETTINGS"
+# For networks that map ports: the port at which other nodes are dialed, if it is not
+# the one at which this node accepts links.
+PEER_PORT_VARIABLE = "RAGWORTFERRY_PEER_PORT"
 READY_PATH = "/-/ready"
 
 CONFIG_KEY = "op/config"
