--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,485 @@
+"""Runs nodes of a mesh under faults drawn by a seed and checks the promises.
+
+Nodes are the real program, each a process of its own; the store and the upstreams are
+stand-ins. Faults come from outside: proxies delay, cut, silence or reset connections,
+signals stop, pause and kill processes, the store and the upstreams misbehave. Faults
+overlap. Callers keep their connections for as long as they last. The last line of the
+output is one JSON object with seed, requests, faults by kind and violations; a
+violation makes the exit code 1.
+"""
+
+__all__ = ["Soak", "main", "run_seed"]
+
+import asyncio
+import json
+import random
+import signal
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import aiohttp
+import fire
+
+from benchmarks.promises import Call, Findings, check_calls, check_versions
+from ragwortferry.utils.registry import Registry
+from standins.mesh import READY_PORT, Machine, Mesh
+from standins.network import Fault, Network
+
+ZONES = ("a", "b", "c")
+# Every fourth machine belongs to the second service.
+SERVICES = ("tablero", "tablero", "tablero", "archivo")
+EXPORT_BYTES = 40_000
+# Bounds of the pauses between two faults, and of their lengths, in seconds.
+FAULT_PAUSE_S, FAULT_LENGTH_S = (0.2, 0.8), (0.3, 2.5)
+CALLERS, CALL_PAUSE_S = 10, 0.02
+# Share of the callers that leave before their answer, and after how long, in seconds.
+LEAVE_SHARE, LEAVE_S = 0.04, (0.005, 0.3)
+DEADLINES_MS = (600, 1000, 2000)
+# Seconds by which a caller waits longer than its deadline before it gives up.
+CALLER_SLACK_S = 4.0
+# Seconds in which all is well again after the last fault: the platform's bound on the
+# recovery of a deployment.
+HEAL_S = 15.0
+# Seconds between SIGTERM and the end of a node at the latest.
+GRACE_S = 6.0
+# Least share of machines that are left alone by kills, stops and pauses.
+LEFT_ALONE = 0.34
+MIXED_PATHS = (
+    ("GET", "/panels/{}", False),
+    ("GET", "/exports/{}", False),
+    ("POST", "/pay/{}", True),
+)
+
+FaultAction = Callable[["Soak"], Awaitable[None]]
+FAULTS: Registry[FaultAction] = Registry("fault")
+
+
+def configuration(number: int) -> dict:
+    """Return a version of the configuration; each differs from the last."""
+
+    def rule(name: str, prefix: str, service: str, kind: str) -> dict:
+        return {
+            "name": name,
+            "route_type": kind,
+            "target_latency_s": 0.5,
+            "priority": 2,
+            "match": {"prefix": prefix},
+            "action": {"service": service, "timeout_s": 2, "max_attempts": 2},
+        }
+
+    rules = [
+        rule("panels", "/panels/", "tablero", "safe"),
+        rule("exports", "/exports/", "archivo", "download"),
+        rule("pay", "/pay/", "tablero", "unsafe"),
+        rule("version", f"/version/{number}/", "tablero", "safe"),
+    ]
+    services = ("tablero", "archivo")
+    return {
+        "version": f"r{number}",
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 2**20,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+        "listeners": [{"host": "boards.example", "rules": rules}],
+        "clusters": [{"name": name} for name in services],
+    }
+
+
+class Soak:
+    """One run.
+
+    :param mesh: what runs, with a faulty network.
+    """
+
+    def __init__(self, mesh: Mesh, seed: int):
+        self.mesh = mesh
+        self.rng = random.Random(seed)
+        self._load_rng = random.Random(seed + 1)
+        self.findings = Findings()
+        self.faults: Counter[str] = Counter()
+        self.calls: list[Call] = []
+        self.version = 0
+        # Machines whose process is paused, stopping or gone.
+        self.away: set[str] = set()
+        # Machines that were killed or paused, and when last.
+        self.struck: dict[str, float] = {}
+        self.killed: dict[str, float] = {}
+        self._pending: set[asyncio.Task] = set()
+
+    async def start(self, processes: int) -> None:
+        """Start the mesh and wait until it serves."""
+        self.mesh.session = None
+        self.version = 1
+        await self.mesh.start([])
+        await self.mesh.accept(configuration(1))
+        for number in range(processes):
+            seeds = tuple(self.mesh.machines[:2])
+            service = SERVICES[number % len(SERVICES)]
+            zone = ZONES[number % len(ZONES)]
+            machine = await self.mesh.add(service, zone, seeds=seeds)
+            if service == "archivo":
+                machine.upstream.answer_bytes = EXPORT_BYTES
+        await self.until_ready()
+
+    async def until_ready(self) -> None:
+        """Wait until all nodes are ready and have the newest version."""
+        for machine in self.mesh.machines:
+            while await self.mesh.page(machine, READY_PORT, "/-/ready") is None:
+                await asyncio.sleep(0.05)
+            text = f"ragwortferry_version {self.version}\n"
+            while text not in await self.mesh.metrics(machine):
+                await asyncio.sleep(0.05)
+
+    def _running(self) -> list[Machine]:
+        """Return the machines whose process was not told to end."""
+        here = [m for m in self.mesh.machines if m.name not in self.away]
+        for machine in here:
+            code = machine.process.returncode
+            if code is not None:
+                self.findings.violate(
+                    "a node ends only when told", (machine.name, code)
+                )
+                self.away.add(machine.name)
+        return [m for m in here if m.name not in self.away]
+
+    def pick(self) -> Machine | None:
+        """Return a machine to strike, ``None`` if enough are struck already."""
+        here = self._running()
+        if len(here) <= LEFT_ALONE * len(self.mesh.machines) + 1:
+            return None
+        return self.rng.choice(here)
+
+    def strike(self, machine: Machine, kill: bool = False) -> None:
+        """Note that a process is away from now on."""
+        self.away.add(machine.name)
+        self.struck[machine.name] = time.monotonic()
+        if kill:
+            self.killed[machine.name] = time.monotonic()
+
+    def back(self, machine: Machine) -> None:
+        """Note that a process is back."""
+        self.away.discard(machine.name)
+        self.struck[machine.name] = time.monotonic()
+
+    def later(self, action: Callable[[], Awaitable[None]]) -> None:
+        """Run an action after a drawn time."""
+        delay = self.rng.uniform(*FAULT_LENGTH_S)
+
+        async def wait() -> None:
+            await asyncio.sleep(delay)
+            await action()
+
+        task = asyncio.get_running_loop().create_task(wait())
+        self._pending.add(task)
+        task.add_done_callback(self._pending.discard)
+
+    async def settle(self) -> None:
+        """Wait for the actions that are due."""
+        while self._pending:
+            await asyncio.gather(*self._pending)
+
+    async def call_on(self, worker: int, end: float) -> None:
+        """Send requests one after the other until the end, as one caller."""
+        timeout = aiohttp.ClientTimeout(total=None)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            number = 0
+            while time.monotonic() < end:
+                number += 1
+                await self._call(session, f"{worker}-{number}")
+                await asyncio.sleep(CALL_PAUSE_S)
+
+    async def _call(self, session: aiohttp.ClientSession, request_id: str) -> None:
+        rng = self._load_rng
+        machine = rng.choice(self.mesh.machines)
+        method, path, once = rng.choice(MIXED_PATHS)
+        deadline_ms = rng.choice(DEADLINES_MS)
+        body = b"fee " + request_id.encode() if once else b""
+        path = path.format(request_id)
+        call = Call(
+            request_id,
+            machine.name,
+            machine.zone,
+            once,
+            (method, path, body),
+            time.monotonic(),
+            deadline_ms / 1000,
+        )
+        leaves = rng.random() < LEAVE_SHARE
+        patience = rng.uniform(*LEAVE_S) if leaves else call.deadline_s + CALLER_SLACK_S
+        headers = {
+            "Host": "boards.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(deadline_ms),
+        }
+        try:
+            async with asyncio.timeout(patience):
+                async with session.request(
+                    method, machine.url(path), headers=headers, data=body or None
+                ) as answer:
+                    call.signature = answer.headers.get("X-Response-Signature", "")
+                    call.echoed = answer.headers.get("X-Request-Id", "")
+                    call.body = await answer.read()
+                    call.status = answer.status
+        except TimeoutError:
+            call.left_at = time.monotonic() if leaves else 0.0
+        except aiohttp.ClientError:
+            call.status = 0
+        call.seconds = time.monotonic() - call.began
+        self._note_strikes(call)
+        self.calls.append(call)
+
+    def _note_strikes(self, call: Call) -> None:
+        call.disturbed = (
+            call.entry in self.away or self.struck.get(call.entry, 0.0) > call.began
+        )
+        call.killed = self.killed.get(call.entry, 0.0) > call.began
+
+    async def heal(self) -> None:
+        """End all faults; then every node must serve the newest version in time."""
+        await self.settle()
+        mesh = self.mesh
+        mesh.network.heal()
+        mesh.store.fault = ""
+        for proxy in mesh.network.proxies:
+            proxy.reset()
+        await FAULTS.get("accept")(self)
+        try:
+            async with asyncio.timeout(HEAL_S):
+                await self.until_ready()
+        except TimeoutError:
+            self.findings.violate("all is well after the last fault", self.version)
+
+    def check(self) -> None:
+        """Check what was seen."""
+        check_calls(self.mesh, self.calls, self.findings)
+        check_versions(self.mesh, self.findings)
+        for machine in self.mesh.machines:
+            for line in self.mesh.lines(machine, "error"):
+                self.findings.violate("no error inside the program", line)
+
+    def report(self, seed: int) -> dict:
+        """Return the figures of the run."""
+        served = sorted(c.seconds for c in self.calls if c.status == 200)
+        return {
+            "seed": seed,
+            "processes": len(self.mesh.machines),
+            "requests": len(self.calls),
+            "answers": dict(Counter(str(call.status) for call in self.calls)),
+            "median_ms": round(1000 * served[len(served) // 2], 1) if served else None,
+            "versions": self.version,
+            "faults": dict(self.faults),
+            "violations": dict(self.findings.violations),
+        }
+
+
+@FAULTS.register("accept")
+async def _accept(soak: Soak) -> None:
+    soak.version += soak.rng.randint(1, 3)
+    await soak.mesh.accept(configuration(soak.version))
+
+
+@FAULTS.register("storm")
+async def _storm(soak: Soak) -> None:
+    for _ in range(10):
+        await _accept(soak)
+        await asyncio.sleep(0.03)
+
+
+async def _kill_one(soak: Soak, machine: Machine) -> None:
+    soak.strike(machine, kill=True)
+    await soak.mesh.end(machine, signal.SIGKILL)
+
+    async def restart() -> None:
+        await soak.mesh.run(machine)
+        soak.back(machine)
+
+    soak.later(restart)
+
+
+@FAULTS.register("kill")
+async def _kill(soak: Soak) -> None:
+    if machine := soak.pick():
+        await _kill_one(soak, machine)
+
+
+@FAULTS.register("kill-herd")
+async def _kill_herd(soak: Soak) -> None:
+    for _ in range(len(soak.mesh.machines) // 2):
+        await _kill(soak)
+
+
+@FAULTS.register("stop")
+async def _stop(soak: Soak) -> None:
+    machine = soak.pick()
+    if machine is None:
+        return
+    soak.strike(machine)
+    machine.process.send_signal(signal.SIGTERM)
+
+    async def restart() -> None:
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await machine.process.wait()
+        except TimeoutError:
+            soak.findings.violate("a stopped node ends in time", machine.name)
+            await soak.mesh.end(machine, signal.SIGKILL)
+        await soak.mesh.run(machine)
+        soak.back(machine)
+
+    soak.later(restart)
+
+
+@FAULTS.register("pause")
+async def _pause(soak: Soak) -> None:
+    machine = soak.pick()
+    if machine is None:
+        return
+    soak.strike(machine)
+    machine.process.send_signal(signal.SIGSTOP)
+
+    async def resume() -> None:
+        machine.process.send_signal(signal.SIGCONT)
+        soak.back(machine)
+
+    soak.later(resume)
+
+
+@FAULTS.register("reload")
+async def _reload(soak: Soak) -> None:
+    machine = soak.pick()
+    started = machine and len(soak.mesh.lines(machine, "started")) == machine.starts
+    if started:
+        machine.settings.touch()
+        machine.process.send_signal(signal.SIGHUP)
+
+
+@FAULTS.register("cut")
+async def _cut(soak: Soak) -> None:
+    mesh, rng = soak.mesh, soak.rng
+    zone, *others = rng.sample([mesh.zone_number(zone) for zone in ZONES], 3)
+    store = mesh.store_host.split(".")[1]
+    behind = rng.choice([others[:1], others, [store], [*others, store]])
+    fault = rng.choice([Fault.CUT, Fault.SILENT, Fault.SILENT_BACK, Fault.DELAY])
+    mesh.network.separate(zone, behind, fault)
+
+    async def heal() -> None:
+        mesh.network.heal()
+
+    soak.later(heal)
+
+
+@FAULTS.register("one-way")
+async def _one_way(soak: Soak) -> None:
+    numbers = [soak.mesh.zone_number(zone) for zone in ZONES]
+    source, destination = soak.rng.sample(numbers, 2)
+    soak.mesh.network.set(source, destination, Fault.SILENT)
+
+    async def heal() -> None:
+        soak.mesh.network.heal()
+
+    soak.later(heal)
+
+
+@FAULTS.register("store")
+async def _store(soak: Soak) -> None:
+    store, rng = soak.mesh.store, soak.rng
+    hosts = [machine.host for machine in soak.mesh.machines]
+    store.barred = set(rng.sample(hosts, len(hosts) // 2)) if rng.random() < 0.5 else ()
+    store.fault = rng.choice(["busy", "reset", "silent"])
+
+    async def heal() -> None:
+        store.fault = ""
+
+    soak.later(heal)
+
+
+@FAULTS.register("history")
+async def _history(soak: Soak) -> None:
+    soak.mesh.store.drop_history()
+
+
+@FAULTS.register("connections")
+async def _connections(soak: Soak) -> None:
+    machine = soak.rng.choice(soak.mesh.machines)
+    front = soak.rng.choice([machine.link_front, machine.upstream_front])
+    if soak.rng.random() < 0.5:
+        front.reset()
+    else:
+        front.silence_open()
+
+
+@FAULTS.register("upstream")
+async def _upstream(soak: Soak) -> None:
+    upstream = soak.rng.choice(soak.mesh.machines).upstream
+    upstream.fault = soak.rng.choice(["lost", "cut", "shed", ""])
+    upstream.work_s = soak.rng.choice([0.01, 0.3])
+
+    async def heal() -> None:
+        upstream.fault, upstream.work_s = "", 0.01
+
+    soak.later(heal)
+
+
+@FAULTS.register("drain")
+async def _drain(soak: Soak) -> None:
+    machine = soak.rng.choice(soak.mesh.machines)
+    await soak.mesh.register(machine, "draining")
+
+    async def ready() -> None:
+        await soak.mesh.register(machine)
+
+    soak.later(ready)
+
+
+async def run_seed(seed: int, seconds: float, processes: int, folder: Path) -> Soak:
+    """Run once and return what was found."""
+    mesh = Mesh(folder, 250, network=Network())
+    soak = Soak(mesh, seed)
+    try:
+        await soak.start(processes)
+        end = time.monotonic() + seconds
+        loop = asyncio.get_running_loop()
+        load = [loop.create_task(soak.call_on(n, end)) for n in range(CALLERS)]
+        while time.monotonic() < end:
+            kind = soak.rng.choice(FAULTS.names)
+            soak.faults[kind] += 1
+            await FAULTS.get(kind)(soak)
+            await asyncio.sleep(soak.rng.uniform(*FAULT_PAUSE_S))
+        await asyncio.gather(*load)
+        await soak.heal()
+        soak.check()
+    finally:
+        for machine in mesh.machines:
+            if machine.process and machine.process.returncode is None:
+                machine.process.send_signal(signal.SIGCONT)
+        await mesh.stop()
+    return soak
+
+
+def main(
+    seed: int = 1, minutes: float = 0.5, processes: int = 8, keep: str = ""
+) -> None:
+    """Run once.
+
+    :param seed: seed of the faults and the load
+    :param minutes: length of the run
+    :param processes: nodes
+    :param keep: folder for the logs, a temporary one if empty
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(keep or temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = asyncio.run(run_seed(seed, 60 * minutes, processes, folder))
+    for example in soak.findings.examples:
+        print(example)
+    print(json.dumps(soak.report(seed)))
+    raise SystemExit(1 if soak.findings.violations else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/benchmarks/tests/test_promises.py
@@ -0,0 +1,123 @@
+"""Each check of the soak fails on what it is there for."""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import pytest
+
+from benchmarks.promises import Call, Findings, check_calls, check_versions
+from standins.mesh import Machine
+from standins.upstream import UpstreamStandin
+
+
+@dataclass
+class SeenMesh:
+    """What the checks ask a mesh for."""
+
+    machines: list[Machine]
+    enforced: list[dict] = field(default_factory=list)
+
+    def lines(self, machine, event):
+        return self.enforced if event == "enforced" else []
+
+
+def _machine(name: str) -> Machine:
+    upstream = UpstreamStandin(f"up-{name}", "tablero", "a")
+    return Machine(name, "127.0.0.1", "a", upstream, Path(), Path())
+
+
+def _call(**changes) -> Call:
+    call = Call(
+        "r1",
+        "n1",
+        "a",
+        True,
+        ("POST", "/pay/r1", b"fee"),
+        100.0,
+        1.0,
+        seconds=0.1,
+        status=200,
+        signature="up-n1",
+        echoed="r1",
+    )
+    call.body = UpstreamStandin("up-n1", "tablero", "a").content("r1")
+    return replace(call, **changes)
+
+
+def _seen(runs: int = 1, began: float = 100.05) -> SeenMesh:
+    """Return a mesh whose first upstream ran the request."""
+    mesh = SeenMesh([_machine("n1"), _machine("n2")])
+    upstream = mesh.machines[0].upstream
+    if runs:
+        upstream.ran = Counter({"r1": runs})
+        upstream.bodies["r1"] = ("POST", "/pay/r1", b"fee")
+        upstream.callers["r1"] = "tablero"
+        upstream.began["r1"] = began
+    return mesh
+
+
+def _violations(mesh: SeenMesh, *calls: Call) -> list[str]:
+    findings = Findings()
+    check_calls(mesh, calls, findings)
+    return list(findings.violations)
+
+
+def test_request_that_ran_once_and_was_answered_is_fine():
+    assert _violations(_seen(), _call()) == []
+    assert _violations(_seen(runs=0), _call(status=503)) == []
+
+
+@pytest.mark.parametrize(
+    "runs, changes, promise",
+    [
+        (2, {}, "at most once"),
+        (1, {"status": 503}, "not run is true"),
+        (3, {"once": False}, "at most as many attempts as allowed"),
+        (1, {"status": 0}, "a request that runs gets an answer"),
+        (1, {"signature": "up-n2"}, "an answer is that of the request"),
+        (1, {"echoed": "r2"}, "an answer is that of the request"),
+        (1, {"body": b"r1xx"}, "an answer is whole"),
+        (1, {"seconds": 1.6}, "each request is answered by its deadline"),
+        (1, {"sent": ("POST", "/pay/r1", b"fees")}, "requests arrive unchanged"),
+        (1, {"request_id": "r2"}, "nothing runs that nobody sent"),
+    ],
+)
+def test_violation_is_found(runs, changes, promise):
+    assert promise in _violations(_seen(runs), _call(**changes))
+
+
+def test_wrong_service_of_the_caller_is_found():
+    mesh = _seen()
+    mesh.machines[0].upstream.callers["r1"] = "archivo"
+    assert _violations(mesh, _call()) == ["the caller's service is true"]
+
+
+def test_request_that_runs_long_after_its_caller_left_is_found():
+    mesh, calls = SeenMesh([_machine("n1")]), []
+    upstream = mesh.machines[0].upstream
+    for number in range(4):
+        name = f"r{number}"
+        upstream.ran[name] = 1
+        upstream.bodies[name] = ("POST", "/pay/r1", b"fee")
+        upstream.callers[name] = "tablero"
+        upstream.began[name] = 101.0
+        calls.append(_call(request_id=name, status=0, left_at=100.2))
+    assert _violations(mesh, *calls) == ["nothing runs for callers that left"]
+
+
+@pytest.mark.parametrize(
+    "lines, promise",
+    [
+        ([("u", 3, "x"), ("u", 2, "y")], "never back"),
+        ([("u", 3, "x"), ("v", 3, "y")], "one content a version"),
+    ],
+)
+def test_versions_that_go_back_or_differ_are_found(lines, promise):
+    enforced = [
+        {"task_uuid": uuid, "version": version, "digest": digest}
+        for uuid, version, digest in lines
+    ]
+    findings = Findings()
+    check_versions(SeenMesh([_machine("n1")], enforced), findings)
+    assert list(findings.violations) == [promise]
--- a/ragwortferry/mesh/tests/test_nodes.py
+++ b/ragwortferry/mesh/tests/test_nodes.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import signal
+from pathlib import Path
 
 import pytest
 
@@ -152,6 +153,22 @@
     play(scenario)
 
 
+def test_signal_to_reload_does_not_end_a_node_that_starts(play):
+    async def scenario(mesh):
+        machine = mesh.machines[2]
+        await mesh.end(machine, signal.SIGKILL)
+        await mesh.run(machine)
+        # Its libraries are loaded, its own modules are not yet.
+        maps = Path(f"/proc/{machine.process.pid}/maps")
+        await mesh.until(lambda: "uvloop" in maps.read_text())
+        before = len(mesh.lines(machine, "started"))
+        machine.process.send_signal(signal.SIGHUP)
+        await mesh.ready(machine)
+        assert len(mesh.lines(machine, "started")) == before + 1
+
+    play(scenario)
+
+
 def test_new_node_with_seeds_learns_from_one_of_them_first(play):
     async def scenario(mesh):
         seeds = (mesh.machines[0], mesh.machines[3])
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -14,6 +14,7 @@
 import aiohttp
 from yarl import URL
 
+from standins.network import FaultProxy, Network
 from standins.store import StoreStandin
 from standins.upstream import UpstreamStandin
 
@@ -21,6 +22,10 @@
 METRICS_PORT = 9464
 UPSTREAM_PORT, CALLERS_PORT, READY_PORT, LINK_PORT = 18147, 18141, 18140, 18145
 STORE_HOST_NUMBER = 250
+# Ports of the proxies of a mesh with a faulty network.
+LINK_FRONT_PORT, UPSTREAM_FRONT_PORT, STORE_FRONT_PORT = 18155, 18157, 18152
+# Second number of the addresses of the store and of the first zone in such a mesh.
+STORE_ZONE, FIRST_ZONE = 240, 241
 # Second number of the loopback addresses: differs between test runs at the same time.
 NETWORK = 20 + os.getpid() % 200
 POLL_S = 0.02
@@ -67,6 +72,8 @@
     log: Path
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
+    link_front: FaultProxy | None = None
+    upstream_front: FaultProxy | None = None
 
     def url(self, path: str) -> URL:
         """Return where the callers of this instance send a path, as it is."""
@@ -87,14 +94,31 @@
     store: StoreStandin = field(default_factory=StoreStandin)
     machines: list[Machine] = field(default_factory=list)
     session: aiohttp.ClientSession | None = None
+    # Stands between nodes, before the store and before each upstream, if it is set;
+    # the second number of an address then names the zone.
+    network: Network | None = None
 
     @property
-    def _store_host(self) -> str:
+    def store_host(self) -> str:
+        """Return the IP number of the store."""
+        if self.network:
+            return f"127.{STORE_ZONE}.{NETWORK}.{self.subnet}"
         return f"127.{NETWORK}.{self.subnet}.{STORE_HOST_NUMBER}"
 
+    def zone_number(self, zone: str) -> str:
+        """Return the number that stands for a zone in a faulty network."""
+        return str(FIRST_ZONE + ord(zone) - ord("a"))
+
+    def _host(self, zone: str, number: int) -> str:
+        if self.network:
+            return f"127.{self.zone_number(zone)}.{NETWORK}.{number}"
+        return f"127.{NETWORK}.{self.subnet}.{number}"
+
     async def start(self, layout: list[tuple[str, str]]) -> None:
         """Start the store, and a machine for each service and zone of the layout."""
-        await self.store.start(self._store_host, STORE_PORT)
+        await self.store.start(self.store_host, STORE_PORT)
+        if self.network:
+            await self.network.front(self.store_host, STORE_FRONT_PORT, STORE_PORT)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=False)
         )
@@ -113,7 +137,7 @@
         :param seeds: machines whose nodes the new one may ask for the state.
         """
         number = len(self.machines) + 1
-        host = f"127.{NETWORK}.{self.subnet}.{number}"
+        host = self._host(zone, number)
         upstream = UpstreamStandin(f"i-{number}", service, zone)
         await upstream.start(host, UPSTREAM_PORT)
         name = f"node-{number}"
@@ -132,15 +156,21 @@
                 zone=zone,
                 service=service,
                 seeds=json.dumps([f"{seed.host}:{LINK_PORT}" for seed in seeds]),
-                upstream=UPSTREAM_PORT,
+                upstream=UPSTREAM_FRONT_PORT if self.network else UPSTREAM_PORT,
                 callers=CALLERS_PORT,
                 ready=READY_PORT,
                 link=LINK_PORT,
-                store=self._store_host,
-                store_port=STORE_PORT,
+                store=self.store_host,
+                store_port=STORE_FRONT_PORT if self.network else STORE_PORT,
             )
         )
         self.machines.append(machine)
+        if self.network:
+            front = self.network.front
+            machine.link_front = await front(host, LINK_FRONT_PORT, LINK_PORT)
+            machine.upstream_front = await front(
+                host, UPSTREAM_FRONT_PORT, UPSTREAM_PORT
+            )
         if register:
             await self.register(machine)
         await self.run(machine)
@@ -149,6 +179,8 @@
     async def run(self, machine: Machine) -> None:
         """Start the node of a machine."""
         environ = {**os.environ, "RAGWORTFERRY_SETTINGS": str(machine.settings)}
+        if self.network:
+            environ["RAGWORTFERRY_PEER_PORT"] = str(LINK_FRONT_PORT)
         with machine.log.open("ab") as log:
             machine.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -245,4 +277,6 @@
                 await machine.process.wait()
             await machine.upstream.stop()
         await self.session.close()
+        if self.network:
+            await self.network.stop()
         await self.store.stop()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections import Counter
 
 from aiohttp import web
@@ -25,6 +26,8 @@
         self.answer_bytes = 64
         self.fault = ""
         self.ran: Counter[str] = Counter()
+        # Monotonic time at which each request last began to run.
+        self.began: dict[str, float] = {}
         self.callers: dict[str, str] = {}
         self.bodies: dict[str, tuple[str, str, bytes]] = {}
         self.dropped: list[str] = []
@@ -60,6 +63,10 @@
         }
         return json.dumps(content).encode()
 
+    def content(self, request_id: str) -> bytes:
+        """Return the body of the answer to a request."""
+        return (request_id + "x" * self.answer_bytes)[: self.answer_bytes].encode()
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers.get("X-Request-Id", "")
         meant = request.headers.get("X-Target-Instance", self.name)
@@ -73,6 +80,7 @@
     async def _work(self, request: web.BaseRequest, request_id: str):
         body = await request.read()
         self.ran[request_id] += 1
+        self.began[request_id] = time.monotonic()
         self.callers[request_id] = request.headers.get("X-Caller-Service", "")
         self.bodies[request_id] = (request.method, request.raw_path, body)
         self.running += 1
@@ -85,7 +93,7 @@
         finally:
             self.running -= 1
         headers = {"X-Request-Id": request_id, "X-Response-Signature": self.name}
-        content = (request_id + "x" * self.answer_bytes)[: self.answer_bytes].encode()
+        content = self.content(request_id)
         if self.fault == "lost":
             request.transport.abort()
         if self.fault == "cut":
