--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -13,6 +13,7 @@
 import asyncio
 import json
 import random
+import re
 import signal
 import tempfile
 import time
@@ -23,6 +24,7 @@
 import aiohttp
 import fire
 
+from benchmarks.figures import Figures, Sample, second_of, write_figures
 from benchmarks.promises import Call, Findings, check_calls, check_versions
 from ragwortferry.utils.registry import Registry
 from standins.mesh import READY_PORT, Machine, Mesh
@@ -53,6 +55,8 @@
     ("POST", "/pay/{}", True),
 )
 
+VERSION_LINE = re.compile(r"^ragwortferry_version (\d+)$", re.MULTILINE)
+
 FaultAction = Callable[["Soak"], Awaitable[None]]
 FAULTS: Registry[FaultAction] = Registry("fault")
 
@@ -110,6 +114,8 @@
         self.struck: dict[str, float] = {}
         self.killed: dict[str, float] = {}
         self._pending: set[asyncio.Task] = set()
+        self._began = time.monotonic()
+        self._samples: list[Sample] = []
 
     async def start(self, processes: int) -> None:
         """Start the mesh and wait until it serves."""
@@ -183,6 +189,25 @@
         while self._pending:
             await asyncio.gather(*self._pending)
 
+    async def sample(self, end: float) -> None:
+        """Note the versions in force, once a second, until the end."""
+        while time.monotonic() < end:
+            pages = [await self.mesh.metrics(m) for m in self._running()]
+            found = [VERSION_LINE.search(text) for text in pages]
+            versions = [int(match[1]) for match in found if match]
+            if versions:
+                at = round(time.monotonic() - self._began, 1)
+                self._samples.append(Sample(at, min(versions), max(versions)))
+            await asyncio.sleep(1.0)
+
+    def figures(self, title: str) -> Figures:
+        """Return what callers got by second, and the versions in force."""
+        by_second: dict[int, list[Call]] = {}
+        for call in self.calls:
+            by_second.setdefault(int(call.began - self._began), []).append(call)
+        seconds = [second_of(at, by_second[at]) for at in sorted(by_second)]
+        return Figures(title, seconds, self._samples)
+
     async def call_on(self, worker: int, end: float) -> None:
         """Send requests one after the other until the end, as one caller."""
         timeout = aiohttp.ClientTimeout(total=None)
@@ -445,6 +470,7 @@
         end = time.monotonic() + seconds
         loop = asyncio.get_running_loop()
         load = [loop.create_task(soak.call_on(n, end)) for n in range(CALLERS)]
+        load.append(loop.create_task(soak.sample(end)))
         while time.monotonic() < end:
             kind = soak.rng.choice(FAULTS.names)
             soak.faults[kind] += 1
@@ -462,7 +488,11 @@
 
 
 def main(
-    seed: int = 1, minutes: float = 0.5, processes: int = 8, keep: str = ""
+    seed: int = 1,
+    minutes: float = 0.5,
+    processes: int = 8,
+    keep: str = "",
+    figures: str = "",
 ) -> None:
     """Run once.
 
@@ -470,11 +500,15 @@
     :param minutes: length of the run
     :param processes: nodes
     :param keep: folder for the logs, a temporary one if empty
+    :param figures: file for the figures that ``benchmarks.report`` plots, none if empty
     """
     with tempfile.TemporaryDirectory() as temporary:
         folder = Path(keep or temporary)
         folder.mkdir(parents=True, exist_ok=True)
         soak = asyncio.run(run_seed(seed, 60 * minutes, processes, folder))
+    if figures:
+        title = f"Soak of {processes} nodes, seed {seed}"
+        write_figures(Path(figures), soak.figures(title))
     for example in soak.findings.examples:
         print(example)
     print(json.dumps(soak.report(seed)))
