Take a link for open only when its peer has greeted

It is the same with a process that stands still: the system accepts connections for it, so a peer given up for silence was taken back at once, every 0.4 s, and requests that may run only once were left in doubt.

Change: dialing waits for the greeting, 2 s at most; until then the peer counts as unreachable and a request for it ends not-run. Test with a listener that closes and one that says nothing: the attempt was in doubt before, is not-run now.

--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/link.py
@@ -60,6 +60,16 @@
         self.peer_store_served = True
         self.heard_at = self._loop.time()
         self.closed = False
+        self._greeted = asyncio.Event()
+
+    def greet(self) -> None:
+        """Note that the peer has greeted: it is a node, and it runs."""
+        self._greeted.set()
+
+    async def greeted(self) -> bool:
+        """Wait for the greeting; return whether the connection is open then."""
+        await self._greeted.wait()
+        return not self.closed
 
     @property
     def congested(self) -> bool:
@@ -144,6 +154,7 @@
             return
         self.closed = True
         self._writable.set()
+        self._greeted.set()
         self._handler.link_lost(self, reason)
 
 
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -54,8 +54,10 @@
 IDLE_SILENCE_S = 3.0
 # Period of the check of all links, in seconds.
 CHECK_S = 0.05
-# Seconds until a link must be established.
+# Seconds until a connection must be established.
 DIAL_TIMEOUT_S = 1.0
+# Seconds until its peer must have greeted; a slow network link may be silent as long.
+GREETING_S = 2.0
 # Seconds that an attempt waits for a link that is being established.
 LINK_WAIT_S = 0.3
 # Bounds of the jittered pause between two tries to reach a peer, in seconds.
@@ -289,20 +291,11 @@
         backoff = Backoff(FIRST_REDIAL_S, MOST_REDIAL_S, self._rng)
         loop = asyncio.get_running_loop()
         while peer.wanted:
-            try:
-                async with asyncio.timeout(DIAL_TIMEOUT_S):
-                    sock = await connected_socket(peer.address, self._address.host)
-                    _, link = await loop.create_connection(
-                        lambda: Link(self, True, self._outflow, peer.address.host),
-                        sock=sock,
-                    )
-            except (OSError, TimeoutError):
+            link = await self._dial(peer)
+            if link is None:
                 peer.fail(loop.time())
                 await self._pause(peer, backoff.next_delay())
                 continue
-            if link.closed:
-                await self._pause(peer, backoff.next_delay())
-                continue
             peer.link, peer.asked_at, peer.failing_since = link, NEVER, NEVER
             peer.tried = True
             self._log.event("link-made", "link is open", peer=peer.address.host)
@@ -317,6 +310,27 @@
         if not peer.waiting and self._peers.get(peer.address.host) is peer:
             del self._peers[peer.address.host]
 
+    async def _dial(self, peer: _Peer) -> Link | None:
+        """Return a link whose peer has greeted, ``None`` if there is none in time.
+
+        A connection alone says little: the system accepts it for a process that stands
+        still, and a proxy for one that is gone. What is sent there is in doubt.
+        """
+        link = None
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                sock = await connected_socket(peer.address, self._address.host)
+                _, link = await asyncio.get_running_loop().create_connection(
+                    lambda: Link(self, True, self._outflow, peer.address.host),
+                    sock=sock,
+                )
+            async with asyncio.timeout(GREETING_S):
+                return link if await link.greeted() else None
+        except (OSError, TimeoutError):
+            if link is not None:
+                link.close("no greeting")
+            return None
+
     async def _pause(self, peer: _Peer, seconds: float) -> None:
         """Wait before the next try, no longer than until the peer shows itself."""
         peer.hinted.clear()
@@ -391,6 +405,7 @@
             case Hello():
                 link.host, link.zone = frame.host, frame.zone
                 link.relays, link.peer_mbps = frame.relays, frame.link_mbps
+                link.greet()
                 self._hint(link)
                 self._relay.greeted(link, frame.version, frame.revision)
             case Ping():
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -8,7 +8,9 @@
 from hypothesis import strategies as st
 
 import ragwortferry.mesh.relay as relay_module
+from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.kernel import Kernel
+from ragwortferry.mesh.attempt import Reply
 from ragwortferry.mesh.frames import (
     Announce,
     Cancel,
@@ -35,6 +37,7 @@
 )
 from ragwortferry.tests.mesh_builders import (
     a_config,
+    an_attempt,
     an_entry,
     an_outflow,
     an_upstream,
@@ -503,3 +506,49 @@
     assert isinstance(link.queued[-1], End)
     assert len(link.sent) <= 2
     assert all(len(f.data) <= 8_192 for f in link.queued[:-1])
+
+
+class Quiet(asyncio.Protocol):
+    """Accepts connections and says nothing, as for a process that stands still."""
+
+
+@pytest.mark.parametrize("closes", [True, False])
+def test_request_is_not_sent_to_a_peer_that_has_not_greeted(closes):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+
+        def accept():
+            protocol = Quiet()
+            if closes:
+                protocol.connection_made = lambda transport: transport.close()
+            return protocol
+
+        server = await loop.create_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        knowledge, relay = _relay("127.0.0.1")
+        kernel = Kernel(silent_log())
+        peers = Peers(
+            kernel,
+            knowledge,
+            None,
+            relay,
+            Address("127.0.0.1", 0),
+            port,
+            (),
+            "a",
+            an_outflow(),
+            "incarnation",
+            silent_log(),
+            random.Random(1),
+        )
+        attempt = an_attempt(host="127.0.0.1", deadline=loop.time() + 5)
+        reply = Reply()
+        async with asyncio.timeout(5):
+            await peers.send(attempt, reply)
+            await reply.wait(1)
+        assert reply.failure.outcome is Outcome.NOT_RUN
+        assert reply.failure.kind is ErrorKind.CONNECT_FAILED
+        await peers.stop()
+        server.close()
+
+    asyncio.run(scenario())
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -5,6 +5,7 @@
     "a_config",
     "a_document",
     "a_route",
+    "an_attempt",
     "an_entry",
     "an_outflow",
     "an_upstream",
@@ -16,6 +17,7 @@
 import json
 
 from ragwortferry.logs import Log, LogContext
+from ragwortferry.mesh.attempt import Attempt
 from ragwortferry.mesh.frames import Load
 from ragwortferry.mesh.model import Destination, Document, Limits, Route, Upstream
 from ragwortferry.utils.clock import HybridClock
@@ -116,6 +118,28 @@
     return Outflow(mbps, ManualLoop())
 
 
+def an_attempt(**changes) -> Attempt:
+    """Return one try of a request."""
+    values = {
+        "key": "k-1",
+        "request_id": "r1",
+        "upstream": "i-1",
+        "host": "10.0.0.2",
+        "deadline": 1.0,
+        "objective": 0.5,
+        "priority": 2,
+        "repeatable": False,
+        "route": "panels",
+        "version": 7,
+        "caller": "tablero",
+        "method": "GET",
+        "target": "/panels/1",
+        "headers": [],
+        "body": b"",
+    }
+    return Attempt(**{**values, **changes})
+
+
 def an_entry(**changes) -> bytes:
     """Return an entry as an upstream writes it."""
     entry = {
