Prefer other instances while a sign of life is overdue

Ruled out: a shorter bound on silence (a process that gets its processor late would lose its links and with them the requests at work).

Change: a link whose sign of life is overdue for four tenths of the bound is not chosen while another instance is; the link itself stays. Test: avoided after 0.1 to 0.3 s (0.5 to 1.2 s on a slow network), back with the first byte.

--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -252,7 +252,8 @@
         reachable = [
             item
             for item in known
-            if item.id not in course.tried and self._peers.reachable(item.address.host)
+            if item.id not in course.tried
+            and self._peers.reachable(item.address.host, now)
         ]
         return self._placer.pick(
             reachable or known,
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -50,6 +50,9 @@
 # The same where a slow network link lies between: a single answer of half a megabyte
 # takes 1.4 s at 3 Mbit/s, and signs of life wait behind it.
 SLOW_SILENCE_S = 2.0
+# Share of these bounds after which other instances are preferred. A sign of life takes
+# a few milliseconds; a process that gets its processor late takes 0.1 s.
+SUSPECT_SHARE = 0.4
 # Seconds of silence after which an idle link is given up.
 IDLE_SILENCE_S = 3.0
 # Period of the check of all links, in seconds.
@@ -216,10 +219,23 @@
         """Return whether each peer was dialed once, with success or without."""
         return all(peer.tried for peer in self._peers.values())
 
-    def reachable(self, host: str) -> bool:
-        """Return whether a link to an instance is open or may soon be."""
+    def reachable(self, host: str, now: float) -> bool:
+        """Return whether a link to an instance is sound or may soon be."""
         peer = self._peers.get(host)
-        return peer is None or peer.link is not None or not peer.failing
+        if peer is None:
+            return True
+        if peer.link is None:
+            return not peer.failing
+        return not self._is_suspect(peer, peer.link, now)
+
+    def _is_suspect(self, peer: _Peer, link: Link, now: float) -> bool:
+        """Return whether a sign of life is overdue, long before the link is given up.
+
+        What is sent into a cut is lost and in doubt, so others are preferred.
+        """
+        if link.heard_at >= peer.asked_at:
+            return False
+        return now - peer.asked_at > SUSPECT_SHARE * self._busy_silence(link)
 
     async def send(self, attempt: Attempt, reply: Reply) -> None:
         """Send an attempt to the owner of its upstream."""
--- a/ragwortferry/mesh/tests/test_entry.py
+++ b/ragwortferry/mesh/tests/test_entry.py
@@ -26,7 +26,7 @@
     def __init__(self):
         self.sent = []
 
-    def reachable(self, host):
+    def reachable(self, host, now):
         return True
 
     async def send(self, attempt, reply):
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -438,6 +438,20 @@
     assert 3.0 <= _check(peers, peer, 0.0, 9.0) <= 5.0
 
 
+@pytest.mark.parametrize("mbps, least, most", [(1000.0, 0.1, 0.3), (3.0, 0.5, 1.2)])
+def test_silent_link_is_avoided_long_before_it_is_given_up(mbps, least, most):
+    peers, peer = _peers_with_one_link(mbps)
+    peer.waiting["k"] = object()
+    now = 0.0
+    while peers.reachable("10.0.0.2", now):
+        peers._check_dialed(peer, peer.link, now)
+        now += 0.01
+    assert least < now < most
+    assert not peer.link.reasons
+    peer.link.heard_at = now
+    assert peers.reachable("10.0.0.2", now)
+
+
 def test_link_that_answers_is_kept():
     peers, peer = _peers_with_one_link()
     peer.waiting["k"] = object()
