Leave as soon as the target says so

So the instance never said that it was leaving.

Ruled out: load alone (376 and 389 requests ended at the other two nodes in those 3 s, in 4 to 6 ms each); the placing of requests (two had reached tablero-2).

Change: the owner begins to leave with the answer that says so. Test: test_one_refusal_of_the_target_is_enough_to_leave, failed before, passes now.

--- a/ragwortferry/requests/owner.py
+++ b/ragwortferry/requests/owner.py
@@ -78,11 +78,18 @@
         self._refuse_if_leaving()
         left = attempt.deadline - asyncio.get_running_loop().time()
         self._attempts.arrive(attempt.key, left)
-        return await self._target.send(attempt, lambda: self._begin(attempt))
+        try:
+            return await self._target.send(attempt, lambda: self._begin(attempt))
+        finally:
+            self._leave_with_target()
 
-    def _refuse_if_leaving(self) -> None:
+    def _leave_with_target(self) -> None:
+        """Leave as soon as the target says so; no further attempt may come to tell."""
         if self._target.leaving:
             self._drain.leave("the target says so")
+
+    def _refuse_if_leaving(self) -> None:
+        self._leave_with_target()
         if self._drain.leaving:
             raise RequestError(ErrorKind.LEAVING, "the instance is leaving")
 
--- a/ragwortferry/requests/tests/test_processes.py
+++ b/ragwortferry/requests/tests/test_processes.py
@@ -386,6 +386,20 @@
     run(scenario())
 
 
+def test_one_refusal_of_the_target_is_enough_to_leave(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 1, zones=1) as fleet:
+            fleet.nodes[ENTRY].target.behaviour = Behaviour(leaving=True)
+            await fleet.call(ENTRY, "POST", "/tablero/pay", data=b"fee")
+
+            async def left():
+                return fleet.events(ENTRY, "leaving")
+
+            await wait_until(left, LEAVE_BOUND_S, "the instance leaves")
+
+    run(scenario())
+
+
 def test_a_second_signal_ends_at_once_what_the_first_lets_finish(tmp_path):
     async def scenario():
         async with running(tmp_path, 1, zones=1) as fleet:
