--- /dev/null
+++ b/benchmarks/delayed.py
@@ -0,0 +1,36 @@
+"""Actions that end a fault after a drawn time."""
+
+__all__ = ["DelayedActions"]
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+
+class DelayedActions:
+    """Runs actions later.
+
+    :param bounds: shortest and longest delay, in seconds.
+    """
+
+    def __init__(self, rng: random.Random, bounds: tuple[float, float]):
+        self._rng = rng
+        self._bounds = bounds
+        self._pending: set[asyncio.Task] = set()
+
+    def add(self, action: Callable[[], Awaitable[None]]) -> None:
+        """Run an action after a drawn time."""
+        delay = self._rng.uniform(*self._bounds)
+
+        async def wait() -> None:
+            await asyncio.sleep(delay)
+            await action()
+
+        task = asyncio.get_running_loop().create_task(wait())
+        self._pending.add(task)
+        task.add_done_callback(self._pending.discard)
+
+    async def settle(self) -> None:
+        """Wait for the actions that are due, and for those that they add."""
+        while self._pending:
+            await asyncio.gather(*self._pending)
--- a/benchmarks/randomised.py
+++ b/benchmarks/randomised.py
@@ -20,6 +20,7 @@
 import aiohttp
 import fire
 
+from benchmarks.delayed import DelayedActions
 from benchmarks.sections import section
 from ragwortferry.composition import EXIT_INVARIANT
 from ragwortferry.record.explain import explain_request, render
@@ -96,7 +97,7 @@
         self.down: set[str] = set()
         self.stops: list[tuple[str, float]] = []
         self.disturbed: dict[str, float] = defaultdict(float)
-        self._pending: set[asyncio.Task] = set()
+        self.later = DelayedActions(self.rng, FAULT_LENGTH_S)
 
     # Versions
 
@@ -145,22 +146,6 @@
         picked = self._load_rng.sample(others, 2)
         return ",".join(f"{item.host}:{item.link_port}" for item in picked)
 
-    def later(self, action: Callable[[], Awaitable[None]]) -> None:
-        """Run an action after a drawn time."""
-        delay = self.rng.uniform(*FAULT_LENGTH_S)
-
-        async def wait() -> None:
-            await asyncio.sleep(delay)
-            await action()
-
-        task = asyncio.get_running_loop().create_task(wait())
-        self._pending.add(task)
-        task.add_done_callback(self._pending.discard)
-
-    async def settle(self) -> None:
-        """Wait for the actions that are due."""
-        await asyncio.gather(*self._pending)
-
     # Load
 
     async def load(self, worker: int, end: float) -> None:
@@ -293,7 +278,7 @@
     run.disturbed[name] = time.time()
     run.down.add(name)
     run.fleet.kill(name)
-    run.later(lambda: run.respawn(name))
+    run.later.add(lambda: run.respawn(name))
 
 
 @FAULTS.register("kill-herd")
@@ -310,7 +295,7 @@
         run.down.add(name)
         run.stops.append((name, time.time()))
         run.fleet.signal(name, signal.SIGTERM)
-        run.later(lambda: run.respawn(name))
+        run.later.add(lambda: run.respawn(name))
 
 
 @FAULTS.register("pause")
@@ -325,7 +310,7 @@
             run.disturbed[name] = time.time()
             run.paused.discard(name)
 
-        run.later(resume)
+        run.later.add(resume)
 
 
 @FAULTS.register("zone-cut")
@@ -338,7 +323,7 @@
     async def heal() -> None:
         run.fleet.network.heal()
 
-    run.later(heal)
+    run.later.add(heal)
 
 
 @FAULTS.register("platform")
@@ -357,7 +342,7 @@
     async def heal() -> None:
         run.fleet.platform.set_faults(Faults())
 
-    run.later(heal)
+    run.later.add(heal)
 
 
 @FAULTS.register("silence")
@@ -387,7 +372,7 @@
     async def heal() -> None:
         node.target.behaviour = Behaviour()
 
-    run.later(heal)
+    run.later.add(heal)
 
 
 async def _start(run: Run) -> None:
@@ -403,7 +388,7 @@
 
 async def _heal(run: Run) -> None:
     """End all faults and check that the fleet converges."""
-    await run.settle()
+    await run.later.settle()
     fleet = run.fleet
     fleet.network.heal()
     fleet.platform.set_faults(Faults())
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -24,6 +24,7 @@
 import aiohttp
 import fire
 
+from benchmarks.delayed import DelayedActions
 from benchmarks.figures import Figures, Sample, second_of, write_figures
 from benchmarks.promises import Call, Findings, check_calls, check_versions
 from ragwortferry.utils.registry import Registry
@@ -115,7 +116,7 @@
         # Machines that were killed or paused, and when last.
         self.struck: dict[str, float] = {}
         self.killed: dict[str, float] = {}
-        self._pending: set[asyncio.Task] = set()
+        self.later = DelayedActions(self.rng, FAULT_LENGTH_S)
         self._began = time.monotonic()
         self._samples: list[Sample] = []
 
@@ -174,23 +175,6 @@
         self.away.discard(machine.name)
         self.struck[machine.name] = time.monotonic()
 
-    def later(self, action: Callable[[], Awaitable[None]]) -> None:
-        """Run an action after a drawn time."""
-        delay = self.rng.uniform(*FAULT_LENGTH_S)
-
-        async def wait() -> None:
-            await asyncio.sleep(delay)
-            await action()
-
-        task = asyncio.get_running_loop().create_task(wait())
-        self._pending.add(task)
-        task.add_done_callback(self._pending.discard)
-
-    async def settle(self) -> None:
-        """Wait for the actions that are due."""
-        while self._pending:
-            await asyncio.gather(*self._pending)
-
     async def watch(self, end: float) -> None:
         """Check what was seen so far, and tell of a violation when it is found."""
         known: set[str] = set()
@@ -281,7 +265,7 @@
 
     async def heal(self) -> None:
         """End all faults; then every node must serve the newest version in time."""
-        await self.settle()
+        await self.later.settle()
         mesh = self.mesh
         mesh.network.heal()
         mesh.store.fault = ""
@@ -338,7 +322,7 @@
         await soak.mesh.run(machine)
         soak.back(machine)
 
-    soak.later(restart)
+    soak.later.add(restart)
 
 
 @FAULTS.register("kill")
@@ -371,7 +355,7 @@
         await soak.mesh.run(machine)
         soak.back(machine)
 
-    soak.later(restart)
+    soak.later.add(restart)
 
 
 @FAULTS.register("pause")
@@ -386,7 +370,7 @@
         machine.process.send_signal(signal.SIGCONT)
         soak.back(machine)
 
-    soak.later(resume)
+    soak.later.add(resume)
 
 
 @FAULTS.register("reload")
@@ -410,7 +394,7 @@
     async def heal() -> None:
         mesh.network.heal()
 
-    soak.later(heal)
+    soak.later.add(heal)
 
 
 @FAULTS.register("one-way")
@@ -422,7 +406,7 @@
     async def heal() -> None:
         soak.mesh.network.heal()
 
-    soak.later(heal)
+    soak.later.add(heal)
 
 
 @FAULTS.register("store")
@@ -435,7 +419,7 @@
     async def heal() -> None:
         store.fault = ""
 
-    soak.later(heal)
+    soak.later.add(heal)
 
 
 @FAULTS.register("history")
@@ -462,7 +446,7 @@
     async def heal() -> None:
         upstream.fault, upstream.work_s = "", 0.01
 
-    soak.later(heal)
+    soak.later.add(heal)
 
 
 @FAULTS.register("drain")
@@ -473,7 +457,7 @@
     async def ready() -> None:
         await soak.mesh.register(machine)
 
-    soak.later(ready)
+    soak.later.add(ready)
 
 
 async def run_seed(seed: int, seconds: float, processes: int, folder: Path) -> Soak:
