--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -90,7 +90,7 @@
             upstream = machine.upstream
             if upstream.bodies[call.request_id] != call.sent:
                 findings.violate("requests arrive unchanged", call)
-            if upstream.callers[call.request_id] != mesh_service(mesh, call.entry):
+            if upstream.callers[call.request_id] != _service_of(mesh, call.entry):
                 findings.violate("the caller's service is true", call)
             began = upstream.began[call.request_id]
             late_runs += bool(call.left_at) and began > call.left_at + LEFT_S
@@ -98,7 +98,7 @@
         findings.violate("nothing runs for callers that left", late_runs)
 
 
-def mesh_service(mesh: Mesh, name: str) -> str:
+def _service_of(mesh: Mesh, name: str) -> str:
     """Return the service of the instance that a machine is."""
     return next(m.upstream.service for m in mesh.machines if m.name == name)
 
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -122,7 +122,6 @@
 
     async def start(self, processes: int) -> None:
         """Start the mesh and wait until it serves."""
-        self.mesh.session = None
         self.version = 1
         await self.mesh.start([])
         await self.mesh.accept(configuration(1))
--- a/ragwortferry/document/models.py
+++ b/ragwortferry/document/models.py
@@ -39,7 +39,7 @@
 
 
 class UpstreamModel(Struct, forbid_unknown_fields=True, frozen=True):
-    """One back end of a service, named like the instance that runs it.
+    """One target of a service, named like the instance that runs it.
 
     :param name: instance name.
     :param zone: availability zone.
--- a/ragwortferry/http1/server.py
+++ b/ragwortferry/http1/server.py
@@ -153,6 +153,15 @@
         """Return whether a request is unanswered or half read."""
         return bool(self._pending) or self._begun_at is not None
 
+    @property
+    def congested(self) -> bool:
+        """Return whether the caller reads more slowly than it is written to."""
+        return not self._writable.is_set()
+
+    @property
+    def _waiting_bytes(self) -> int:
+        return self._stream.waiting_bytes if self._stream else 0
+
     def _begin(self) -> None:
         self._begun_at: float | None = None
         self._target = b""
@@ -264,15 +273,6 @@
             self._transport.pause_reading()
         exchange.task = self._loop.create_task(self._server.handle(exchange))
 
-    @property
-    def congested(self) -> bool:
-        """Return whether the caller reads more slowly than it is written to."""
-        return not self._writable.is_set()
-
-    @property
-    def _waiting_bytes(self) -> int:
-        return self._stream.waiting_bytes if self._stream else 0
-
     def send(self, data: bytes) -> None:
         """Write to the caller, behind what waits for the network link."""
         outflow = self._server.outflow
