Give the fleets of each test process addresses of their own

Fleets of all test processes used the same loopback hosts and chose random free ports there some time before listening.

Change: the third number of the hosts comes from the id of the test process.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import random
 import signal
 import socket
@@ -27,6 +28,8 @@
 
 PORTS = range(20_000, 30_000)
 PLATFORM_ZONE = 9
+# Hosts in a subnet, and subnets of a zone that one fleet may use.
+HOSTS, SUBNETS_OF_A_FLEET = 250, 7
 FIRST_ZONE = 10
 POLL_S = 0.02
 FAST = {
@@ -39,6 +42,20 @@
 }
 
 
+def loopback_host(zone: int | str, number: int, process: int) -> str:
+    """Return a loopback address that fleets of other test processes do not use.
+
+    Ports are chosen some time before they are listened on; another run beside this one
+    must not take them meanwhile.
+
+    :param zone: second number of the address.
+    :param number: instance in the zone, from 0.
+    :param process: id of the test process.
+    """
+    third = (process * SUBNETS_OF_A_FLEET + number // HOSTS) % HOSTS
+    return f"127.{zone}.{third}.{number % HOSTS + 1}"
+
+
 def free_ports(host: str, count: int) -> list[int]:
     """Return ports that are free on a host, below those the kernel hands out."""
     found: list[int] = []
@@ -127,6 +144,7 @@
         self._fronted = fronted
         self._zones: dict[str, int] = {}
         self._count = itertools.count()
+        self._platform_host = loopback_host(PLATFORM_ZONE, 0, os.getpid())
         self._platform_port = 0
         self._session: aiohttp.ClientSession | None = None
         self.platform = Platform(lag_s=lag_s)
@@ -139,7 +157,7 @@
         self.settings: dict[str, object] = dict(FAST)
 
     async def __aenter__(self) -> "Fleet":
-        host = f"127.{PLATFORM_ZONE}.0.1"
+        host = self._platform_host
         port, front = free_ports(host, 2)
         await self.server.start(host, port)
         self.platform_front = await self.network.front(host, front, port)
@@ -169,7 +187,7 @@
     @property
     def source(self) -> str:
         """Return the address of the platform."""
-        return f"http://127.{PLATFORM_ZONE}.0.1:{self._platform_port}"
+        return f"http://{self._platform_host}:{self._platform_port}"
 
     def zone_number(self, zone: str) -> str:
         """Return the number that stands for a zone in addresses."""
@@ -179,7 +197,7 @@
     async def add(self, name: str, zone: str, service: str) -> Node:
         """Prepare an instance; ``spawn`` starts its process."""
         at = next(self._count)
-        host = f"127.{self.zone_number(zone)}.{at // 250}.{at % 250 + 1}"
+        host = loopback_host(self.zone_number(zone), at, os.getpid())
         listen, owner, link, owner_front, link_front, own = free_ports(host, 6)
         region = zone.rpartition("-")[0] or zone
         instance = Instance(name, zone, region, host, listen, owner, link)
