Follow averages by route in one place, and drop what nothing calls

The moving average by route stood three times (service times in admission, answer sizes in owner and entry); two played loads ended their jobs with the same loop; the soak looked a service up for every run; a link kept an unused reason and an unused wait.

Behaviour stays as it was.

--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -79,6 +79,7 @@
     known = {call.request_id: call for call in calls}
     for request_id in runs.keys() - known.keys():
         findings.violate("nothing runs that nobody sent", request_id)
+    services = {m.name: m.upstream.service for m in mesh.machines}
     late_runs = 0
     for call in known.values():
         count = runs[call.request_id]
@@ -90,7 +91,7 @@
             upstream = machine.upstream
             if upstream.bodies[call.request_id] != call.sent:
                 findings.violate("requests arrive unchanged", call)
-            if upstream.callers[call.request_id] != _service_of(mesh, call.entry):
+            if upstream.callers[call.request_id] != services[call.entry]:
                 findings.violate("the caller's service is true", call)
             began = upstream.began[call.request_id]
             late_runs += bool(call.left_at) and began > call.left_at + LEFT_S
@@ -98,11 +99,6 @@
         findings.violate("nothing runs for callers that left", late_runs)
 
 
-def _service_of(mesh: Mesh, name: str) -> str:
-    """Return the service of the instance that a machine is."""
-    return next(m.upstream.service for m in mesh.machines if m.name == name)
-
-
 def _check_count(call: Call, count: int, findings: Findings) -> None:
     if call.once and count > 1:
         findings.violate("at most once", f"{count} runs of {call}")
--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from ragwortferry.exceptions import ErrorKind
+from ragwortferry.mesh.averages import RouteAverages
 
 # Weight of the newest measurement in a moving average.
 SMOOTHING = 0.1
@@ -86,21 +87,18 @@
 class _Times:
     """Moving averages of service times, in seconds."""
 
-    by_route: dict[str, float] = field(default_factory=dict)
+    by_route: RouteAverages = field(default_factory=lambda: RouteAverages(SMOOTHING))
     overall: float = FIRST_SERVICE_S
     measured: bool = False
 
     def note(self, route: str, seconds: float) -> None:
-        known = self.by_route.get(route)
-        self.by_route[route] = (
-            seconds if known is None else known + SMOOTHING * (seconds - known)
-        )
+        self.by_route.note(route, seconds)
         gain = SMOOTHING if self.measured else 1.0
         self.overall += gain * (seconds - self.overall)
         self.measured = True
 
     def of(self, route: str) -> float:
-        return self.by_route.get(route, self.overall)
+        return self.by_route.of(route, self.overall)
 
 
 class Admission:
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -11,6 +11,7 @@
 from ragwortferry.http1.messages import Request, end_to_end, find
 from ragwortferry.http1.server import Exchange, Server
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
+from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.budget import RetryBudget
 from ragwortferry.mesh.frames import Load
 from ragwortferry.mesh.knowledge import Knowledge
@@ -126,7 +127,7 @@
         self._server = Server(self._handle, address.host, address.port, outflow)
         # Longest time that callers of a route wait, and mean size of its answers.
         self._longest: dict[str, float] = {}
-        self._sizes: dict[str, float] = {}
+        self._sizes = RouteAverages(SMOOTHING)
         self._ends_at = float("inf")
         self.in_flight = 0
         knowledge.on_document.append(lambda document: self._limit(document.limits))
@@ -260,7 +261,7 @@
             course.tried,
             course.route.objective_s,
             now,
-            self._sizes.get(course.route.name, 0.0),
+            self._sizes.of(course.route.name, 0.0),
             course.route.priority,
         )
 
@@ -339,9 +340,7 @@
         if failure is None:
             course.offered += 1
             course.answer = reply
-            known = self._sizes.get(course.route.name, float(reply.size))
-            size = known + SMOOTHING * (reply.size - known)
-            self._sizes[course.route.name] = size
+            self._sizes.note(course.route.name, float(reply.size))
             note["outcome"], note["status"] = str(Outcome.RAN), reply.status
             if reply.status >= SERVER_ERROR:
                 self._placer.failed(upstream, now)
--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/link.py
@@ -44,7 +44,6 @@
         self._outflow = outflow
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
-        self._reason = ""
         self._loop = asyncio.get_running_loop()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -76,10 +75,6 @@
         """Return whether much that was sent has not left yet."""
         return not self._writable.is_set()
 
-    async def drained(self) -> None:
-        """Wait until the peer has taken most of what was sent."""
-        await self._writable.wait()
-
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Take the connection in."""
         self._transport = transport
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -15,6 +15,7 @@
 from ragwortferry.http1.messages import encode_request, end_to_end, find
 from ragwortferry.mesh.admission import SMOOTHING, Admission, Job, Refusal
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
+from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.frames import Load
 from ragwortferry.mesh.knowledge import Knowledge
 from ragwortferry.mesh.recording import Recorder
@@ -83,7 +84,7 @@
         self._admission = Admission(FIRST_SLOTS, self._expired)
         self._runs: dict[int, Run] = {}
         # Mean size of the answers of each route, in bytes.
-        self._sizes: dict[str, float] = {}
+        self._sizes = RouteAverages(SMOOTHING)
         self._down_until = 0.0
         self._failing = 0.0
         self._ticker: asyncio.Task | None = None
@@ -165,7 +166,7 @@
 
     def _sending(self, route: str) -> tuple[float, float]:
         """Return how long an answer will wait for the network link and take on it."""
-        size = self._sizes.get(route, 0.0)
+        size = self._sizes.of(route, 0.0)
         if not self._outflow.holds_back(size):
             return 0.0, 0.0
         return self._outflow.wait_s, self._outflow.transfer_s(size)
@@ -246,7 +247,7 @@
             cut = exchange.cut
             self.ran += exchange.ran
             if measured:
-                self._note_size(run.attempt.route, exchange.size)
+                self._sizes.note(run.attempt.route, float(exchange.size))
             bad = exchange.failed or not exchange.ended
             self._failing += SMOOTHING * (bad - self._failing)
         except asyncio.CancelledError:
@@ -257,10 +258,6 @@
             self._runs.pop(id(run), None)
             self._start_next()
 
-    def _note_size(self, route: str, size: int) -> None:
-        known = self._sizes.get(route, float(size))
-        self._sizes[route] = known + SMOOTHING * (size - known)
-
     async def _exchange(self, run: Run, exchange: "_Exchange") -> None:
         """Send one attempt to the upstream and pass its answer on."""
         attempt = run.attempt
--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -52,6 +52,13 @@
     return jobs, ends, refused
 
 
+def _finish_due(admission, running, now) -> None:
+    """Free the slots of the jobs that have ended by now."""
+    while running and running[0][0] <= now:
+        end, _, done = heapq.heappop(running)
+        admission.finish(done, end, True)
+
+
 def test_light_load_is_served_without_a_refusal():
     jobs, ends, refused = _play(rate=20, seconds=30, seed=1)
     assert not refused
@@ -104,9 +111,7 @@
     admission, running = Admission(4, refuse), []
     for _ in range(4000):
         clock += rng.expovariate(80)
-        while running and running[0][0] <= clock:
-            end, _, done = heapq.heappop(running)
-            admission.finish(done, end, True)
+        _finish_due(admission, running, clock)
         if admission.offer(_job(clock), clock) is not None:
             held.append(0.0)
         admission.expire(clock)
@@ -126,9 +131,7 @@
     asked = {1: 0, 2: 0}
     for _ in range(40_000):
         now += rng.expovariate(675 + 28)
-        while running and running[0][0] <= now:
-            end, _, done = heapq.heappop(running)
-            admission.finish(done, end, True)
+        _finish_due(admission, running, now)
         admission.expire(now)
         rank = 1 if rng.random() < 675 / 703 else 2
         usual = 0.04 if rank == 1 else 0.13
