--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/link.py
@@ -123,7 +123,7 @@
 
     def send(self, frame: Frame) -> None:
         """Send a message if the connection is open."""
-        data = _encode_with_length(frame)
+        data = self._encode(frame)
         self._pacer.record_sent(len(data))
         self.write_piece(data)
 
@@ -136,7 +136,12 @@
 
     def enqueue(self, stream: Stream, frame: Frame) -> None:
         """Append a message to a stream of paced messages."""
-        stream.put(_encode_with_length(frame))
+        stream.put(self._encode(frame))
+
+    def _encode(self, frame: Frame) -> bytes:
+        data = _encode_with_length(frame)
+        self._pacer.bytes_by_kind[type(frame).__name__.lower()] += len(data)
+        return data
 
     def write_piece(self, data: bytes) -> None:
         """Send an encoded message if the connection is open."""
--- a/ragwortferry/mesh/metrics.py
+++ b/ragwortferry/mesh/metrics.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
-from opentelemetry.metrics import Observation
+from opentelemetry.metrics import Histogram, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from opentelemetry.sdk.resources import Resource
@@ -30,6 +30,14 @@
         self._latency = self._meter.create_histogram(
             f"{PREFIX}request_ms", explicit_bucket_boundaries_advisory=BUCKETS_MS
         )
+        self._round_trips = self._histogram("ping_ms")
+        self._loop_lags = self._histogram("loop_lag_ms")
+        self._store_reads = self._histogram("store_read_ms")
+
+    def _histogram(self, name: str) -> Histogram:
+        return self._meter.create_histogram(
+            PREFIX + name, explicit_bucket_boundaries_advisory=BUCKETS_MS
+        )
 
     def record_request(
         self, route: str, status: int, error: str, seconds: float
@@ -41,6 +49,36 @@
         self._requests.add(1, {"status": status, "error": error})
         self._latency.record(seconds * 1000, {"route": route})
 
+    def record_round_trip(self, seconds: float) -> None:
+        """Record the time between a ping and its pong."""
+        self._round_trips.record(seconds * 1000)
+
+    def record_loop_lag(self, seconds: float) -> None:
+        """Record how late a timer of the event loop fired."""
+        self._loop_lags.record(seconds * 1000)
+
+    def record_store_read(self, reads: str, result: str, seconds: float) -> None:
+        """Record the duration of a read of the store.
+
+        :param reads: part of the store.
+        :param result: ``"ok"`` or ``"failed"``.
+        """
+        self._store_reads.record(seconds * 1000, {"reads": reads, "result": result})
+
+    def add_counters(
+        self, name: str, label: str, read: Callable[[], dict[str, int]]
+    ) -> None:
+        """Add counters that are read at each scrape.
+
+        :param label: name of the label that tells the counters apart.
+        :param read: returns the values by the value of the label.
+        """
+
+        def values(_options) -> Iterable[Observation]:
+            return [Observation(value, {label: key}) for key, value in read().items()]
+
+        self._meter.create_observable_counter(PREFIX + name, [values])
+
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read at each scrape."""
 
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -154,7 +154,7 @@
                 lambda: relay.node_count,
             ),
         )
-        kernel.add(
+        reader = kernel.add(
             "reader",
             Reader(
                 kernel, state, peers, relay, store, log.component("store"), self._rng
@@ -166,6 +166,11 @@
         )
         kernel.add("pages", Server(self._serve_metrics, settings.host, METRICS_PORT))
         _register_gauges(metrics, state, owner, peers, entry, store)
+        metrics.add_counters("link_bytes", "message", lambda: pacer.bytes_by_kind)
+        metrics.add_gauge("egress_delay_ms", lambda: pacer.queueing_delay_s * 1000)
+        peers.on_round_trip = metrics.record_round_trip
+        peers.on_loop_lag = metrics.record_loop_lag
+        reader.on_read = metrics.record_store_read
         return kernel
 
     async def _serve_readiness(self, exchange: Exchange) -> None:
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -57,12 +57,14 @@
     """An attempt at its owner, queued or running.
 
     :param sink: receives the reply.
+    :param submitted_at: loop time at which the attempt arrived.
     :param cancelled: whether the sender has withdrawn the attempt.
     """
 
     attempt: Attempt
     sink: ReplySink
     job: Job
+    submitted_at: float
     task: asyncio.Task | None = None
     cancelled: bool = False
 
@@ -161,7 +163,7 @@
             idempotent=attempt.idempotent,
             send_delay_s=send_delay_s,
         )
-        attempt_state = AttemptState(attempt, sink, job)
+        attempt_state = AttemptState(attempt, sink, job, now)
         job.payload = attempt_state
         failure = self._rejection(attempt, now)
         if failure is None:
@@ -235,6 +237,9 @@
             "status": status,
             "bytes": size,
             "send_ms": round(self._pacer.queueing_delay_s * 1000),
+            "waited_ms": round(
+                ((started_at or now) - attempt_state.submitted_at) * 1000, 1
+            ),
             "ran_ms": round((now - started_at) * 1000, 1)
             if attempt_state.job.running
             else 0.0,
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -101,6 +101,8 @@
         self.pinged_at = 0.0
         # Time of the oldest ping since which nothing was received.
         self.unanswered_since = NEVER
+        # Token and time of the ping whose round trip is being measured.
+        self.probe_token, self.probe_at = 0, 0.0
         self.task: asyncio.Task | None = None
         self.connected = asyncio.Event()
         # When the link was lost, or first could not be established.
@@ -173,6 +175,10 @@
         self._last_token = 0
         # Called with the host and the load report of each pong.
         self.on_load: Callable[[str, Load], None] = lambda host, load: None
+        # Called with the round-trip time of a ping, in seconds.
+        self.on_round_trip: Callable[[float], None] = lambda seconds: None
+        # Called with the delay of each check of the links, in seconds.
+        self.on_loop_lag: Callable[[float], None] = lambda seconds: None
         relay.links = lambda: self.links
         # Called before the relay's callback, so that the relay pushes the change to the
         # neighbours in the new tree.
@@ -345,7 +351,7 @@
                 NEVER,
                 NEVER,
             )
-            peer.dialed_once = True
+            peer.dialed_once, peer.probe_token = True, 0
             self._log.event(
                 "link-made",
                 f"link to {peer.address.host} opened",
@@ -473,10 +479,18 @@
             case Pong():
                 self._relay.on_peer_state(link, frame.version, frame.revision)
                 link.peer_store_available = frame.store_served
+                self._measure_round_trip(link, frame.token)
                 self.on_load(link.host, frame.load)
             case _:
                 self._relay.on_frame(link, frame)
 
+    def _measure_round_trip(self, link: Link, token: int) -> None:
+        """Record the round-trip time if the pong answers the measured ping."""
+        peer = self._peer_by_link(link)
+        if peer is not None and token and token == peer.probe_token:
+            peer.probe_token = 0
+            self.on_round_trip(asyncio.get_running_loop().time() - peer.probe_at)
+
     def _pong(self, token: int) -> Pong:
         state = self._state
         return Pong(
@@ -527,6 +541,7 @@
             due = loop.time() + CHECK_INTERVAL_S
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = loop.time()
+            self.on_loop_lag(now - due)
             if now - due > MAX_CHECK_DELAY_S:
                 self._reset_timeouts(now)
             for peer in list(self._peers.values()):
@@ -553,6 +568,8 @@
             peer.pinged_at = now
             peer.unanswered_since = min(peer.unanswered_since, now)
             link.send(self._ping())
+            if not peer.probe_token:
+                peer.probe_token, peer.probe_at = self._last_token, now
         timeout_s = self._busy_timeout(link) if peer.pending else IDLE_TIMEOUT_S
         if now - peer.unanswered_since > timeout_s:
             link.close(f"ping unanswered for {timeout_s:g} s")
--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log
@@ -71,6 +72,9 @@
         self._store_restored_at = -LEASE_GRACE_S
         self._held_removals: dict[str, int] = {}
         self._malformed_keys: set[str] = set()
+        # Called with the part of the store, the result and the duration of each read of
+        # a whole part and of each failed call, in seconds.
+        self.on_read: Callable[[str, str, float], None] = lambda name, result, s: None
 
     @property
     def should_read(self) -> bool:
@@ -104,14 +108,18 @@
             continue from.
         """
         backoff = Backoff(INITIAL_RETRY_DELAY_S, MAX_RETRY_DELAY_S, self._rng)
+        loop = asyncio.get_running_loop()
         after = 0
         while True:
             if not self.should_read:
                 after = 0
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
                 continue
+            started_at, whole = loop.time(), not after
             try:
                 after = await read(after)
+                if whole:
+                    self.on_read(name, "ok", loop.time() - started_at)
                 self._record_success(name)
                 backoff.reset()
             except HistoryLostError as error:
@@ -122,6 +130,7 @@
                 )
                 after = 0
             except StoreUnavailableError as error:
+                self.on_read(name, "failed", loop.time() - started_at)
                 self._record_failure(name, error)
                 await asyncio.sleep(backoff.next_delay())
 
--- a/ragwortferry/mesh/state.py
+++ b/ragwortferry/mesh/state.py
@@ -139,6 +139,7 @@
             digest=document.digest,
             before=before,
             origin=origin,
+            bytes=len(raw),
             routes=sum(len(routes) for routes in document.routes_by_host.values()),
         )
         for callback in self.on_document:
--- a/ragwortferry/mesh/tests/test_recording.py
+++ b/ragwortferry/mesh/tests/test_recording.py
@@ -55,3 +55,16 @@
     assert 'ragwortferry_request_ms_bucket{route="panels",le="5"} 1\n' in text
     assert 'ragwortferry_request_ms_bucket{route="panels",le="+Inf"} 3\n' in text
     assert 'ragwortferry_request_ms_count{route="panels"} 3\n' in text
+
+
+def test_metrics_tell_bytes_on_links_from_delays_of_the_event_loop():
+    metrics = NodeMetrics("node-1", "a")
+    metrics.add_counters("link_bytes", "message", lambda: {"configuration": 800})
+    metrics.record_round_trip(0.3)
+    metrics.record_loop_lag(0.004)
+    metrics.record_store_read("configuration", "failed", 1.5)
+    text = metrics.text()
+    assert 'ragwortferry_link_bytes{message="configuration"} 800\n' in text
+    assert 'ragwortferry_ping_ms_bucket{le="300"} 1\n' in text
+    assert 'ragwortferry_loop_lag_ms_bucket{le="5"} 1\n' in text
+    assert 'reads="configuration",result="failed"' in text
--- a/ragwortferry/platform/store.py
+++ b/ragwortferry/platform/store.py
@@ -197,6 +197,7 @@
     async def _call(self, name: str, timeout: float, **query) -> tuple[int, bytes]:
         self.calls += 1
         connection: ClientConnection | None = None
+        response: _ResponseSink | None = None
         try:
             async with asyncio.timeout(timeout):
                 connection = await self._pool.acquire(MAX_IDLE_S)
@@ -209,7 +210,8 @@
             if connection is not None:
                 connection.close()
             if isinstance(error, (TimeoutError, ConnectionBrokenError)):
-                reason = str(error) or "no response in time"
+                received = len(response.body) if response else 0
+                reason = str(error) or f"no response in time, {received} bytes received"
                 raise StoreUnavailableError(
                     f"store call {name} failed: {reason}"
                 ) from None
--- a/ragwortferry/utils/egress.py
+++ b/ragwortferry/utils/egress.py
@@ -11,7 +11,7 @@
 __all__ = ["EgressPacer", "Stream", "Writer"]
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -101,6 +101,8 @@
         self._free_at = 0.0
         self.queued_bytes = 0
         self.mbps = mbps
+        # Bytes handed to the pacer so far, by kind of message.
+        self.bytes_by_kind: Counter[str] = Counter()
 
     @property
     def paced(self) -> bool:
