--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -541,7 +541,7 @@
             due = loop.time() + CHECK_INTERVAL_S
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = loop.time()
-            self.on_loop_lag(now - due)
+            self.on_loop_lag(max(0.0, now - due))
             if now - due > MAX_CHECK_DELAY_S:
                 self._reset_timeouts(now)
             for peer in list(self._peers.values()):
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -4,6 +4,7 @@
     "ManualLoop",
     "a_config",
     "a_document",
+    "a_large_config",
     "a_pacer",
     "a_route",
     "an_attempt",
@@ -15,6 +16,7 @@
 import heapq
 import itertools
 import json
+import random
 
 from ragwortferry.logs import Log, LogContext
 from ragwortferry.mesh.attempt import Attempt
@@ -179,6 +181,22 @@
     return {**config, **changes}
 
 
+def a_large_config(version: str, routes: int, changed: int = -1) -> bytes:
+    """Return an encoded configuration with many routes.
+
+    :param changed: number of a route whose timeout differs from that of the others.
+    """
+    rng = random.Random(17)
+    rules = [
+        _rule(f"r-{n}", f"/{rng.getrandbits(40):x}/{rng.getrandbits(24):x}/", "tablero")
+        for n in range(routes)
+    ]
+    if changed >= 0:
+        rules[changed]["action"]["timeout_s"] = 9
+    listeners = [{"host": f"host{n}.example", "rules": rules[n::20]} for n in range(20)]
+    return json.dumps(a_config(version, listeners=listeners)).encode()
+
+
 def _rule(name: str, prefix: str, service: str) -> dict:
     return {
         "name": name,
