Give up a read of the store when it stalls, not when it is long

Cause: a call to the store had 1.5 s in all, and the next try began from zero; the configuration of 2,815 routes takes 2.0 s over a link of 3 Mbit/s, so a reader never got it. Class: a bound in time on work whose size grows. The same held for listings and watches, which use the same call.

--- a/ragwortferry/platform/store.py
+++ b/ragwortferry/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import binascii
+from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
@@ -19,8 +20,14 @@
 from ragwortferry.http1.messages import encode_request
 from ragwortferry.utils.sockets import Address
 
-# The store responds within milliseconds, but may be fifty times slower.
+# Timeout until the response starts. The store responds within milliseconds, but may be
+# fifty times slower.
 CALL_TIMEOUT_S = 1.5
+# Timeout between two parts of a response. The whole of it may take much longer: a large
+# configuration over a narrow network link.
+STALL_TIMEOUT_S = 1.0
+# Bounds a response that never ends.
+MAX_TRANSFER_S = 30.0
 # Time beyond its wait that a watch call may take.
 WATCH_MARGIN_S = 1.0
 # A call opens a new connection if the pooled ones were idle for longer.
@@ -29,7 +36,15 @@
 
 
 class StoreUnavailableError(SourceError):
-    """The store did not respond in time, rejected the call or sent invalid data."""
+    """The store did not respond in time, rejected the call or sent invalid data.
+
+    :param responded: whether a part of the response arrived, so that the store serves
+        this node although the transfer failed.
+    """
+
+    def __init__(self, message: str, responded: bool = False):
+        super().__init__(message)
+        self.responded = responded
 
 
 class HistoryLostError(SourceError):
@@ -86,9 +101,13 @@
 
 
 class _ResponseSink:
-    """Collects the response to one call."""
+    """Collects the response to one call.
+
+    :param on_progress: called for each part of the response.
+    """
 
-    def __init__(self):
+    def __init__(self, on_progress: Callable[[], None]):
+        self._on_progress = on_progress
         self._parts: list[bytes] = []
         self.status = 0
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -105,9 +124,11 @@
     def on_head(self, head: ResponseHead) -> None:
         """Store the status."""
         self.status = head.status
+        self._on_progress()
 
     def on_data(self, data: bytes) -> None:
         """Store a part of the body."""
+        self._on_progress()
         self._parts.append(data)
 
     def on_end(self) -> None:
@@ -198,10 +219,16 @@
         self.calls += 1
         connection: ClientConnection | None = None
         response: _ResponseSink | None = None
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout + MAX_TRANSFER_S
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as limit:
                 connection = await self._pool.acquire(MAX_IDLE_S)
-                response = _ResponseSink()
+                response = _ResponseSink(
+                    lambda: limit.reschedule(
+                        min(loop.time() + STALL_TIMEOUT_S, ends_at)
+                    )
+                )
                 target = f"/-/{name}?{urlencode(query)}"
                 headers = [("Host", self._host)]
                 connection.send(encode_request("GET", target, headers, b""), response)
@@ -213,7 +240,7 @@
                 received = len(response.body) if response else 0
                 reason = str(error) or f"no response in time, {received} bytes received"
                 raise StoreUnavailableError(
-                    f"store call {name} failed: {reason}"
+                    f"store call {name} failed: {reason}", responded=received > 0
                 ) from None
             raise
         self._pool.release(connection)
