Keep the health of each read of the store apart

Cause: one flag for two reads. A registry that answered said that a reader was fine whose configuration never arrived, so no other node took its place; each failed transfer of the configuration counted as an outage of the store and held removals back. Class: one health flag for several dependencies. Change: a node offers itself as a reader while both reads succeed; an outage is a call without any response.

--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -50,6 +50,9 @@
     renewed. After an outage of the store, entries of healthy upstreams are missing
     until they are written again. So removals are held back for a grace period if they
     may be due to an outage. An entry that was draining is removed at once.
+
+    Each part of the store is read on its own. While either fails, another node of the
+    zone takes over.
     """
 
     def __init__(
@@ -69,6 +72,10 @@
         self._store = store
         self._log = log
         self._rng = rng
+        # Parts of the store whose last read failed.
+        self._failing: set[str] = set()
+        # Whether the store itself seems to be unavailable, and when that ended.
+        self._outage = False
         self._store_restored_at = -LEASE_GRACE_S
         self._held_removals: dict[str, int] = {}
         self._malformed_keys: set[str] = set()
@@ -113,6 +120,7 @@
         while True:
             if not self.should_read:
                 after = 0
+                self._forget_failure(name)
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
                 continue
             started_at, whole = loop.time(), not after
@@ -135,14 +143,24 @@
                 await asyncio.sleep(backoff.next_delay())
 
     def _record_success(self, name: str) -> None:
-        if not self._relay.store_available:
-            self._relay.store_available = True
+        if self._outage:
+            self._outage = False
             self._store_restored_at = asyncio.get_running_loop().time()
+        if name in self._failing:
+            self._failing.discard(name)
+            self._relay.store_available = not self._failing
             self._log.event("store-regained", "store available again", reads=name)
 
+    def _forget_failure(self, name: str) -> None:
+        """Forget a failed read of a node that no longer reads."""
+        self._failing.discard(name)
+        self._relay.store_available = not self._failing
+
     def _record_failure(self, name: str, error: StoreUnavailableError) -> None:
-        if self._relay.store_available:
-            self._relay.store_available = False
+        self._outage |= not error.responded
+        self._relay.store_available = False
+        if name not in self._failing:
+            self._failing.add(name)
             self._log.event(
                 "store-lost", "store unavailable", reads=name, reason=str(error)
             )
@@ -249,10 +267,7 @@
             name for name in removed if name in known and not known[name].draining
         ]
         now = asyncio.get_running_loop().time()
-        after_outage = (
-            not self._relay.store_available
-            or now - self._store_restored_at < LEASE_GRACE_S
-        )
+        after_outage = self._outage or now - self._store_restored_at < LEASE_GRACE_S
         many = len(abrupt) > 1 and len(abrupt) > MASS_EXPIRY_FRACTION * len(known)
         if not abrupt or not (after_outage or many):
             return []
--- a/ragwortferry/mesh/relay.py
+++ b/ragwortferry/mesh/relay.py
@@ -50,7 +50,7 @@
         # Returns all open links; set by Peers.
         self.links = lambda: []
         self.neighbours: set[str] = set()
-        # Whether the last call to the store succeeded; set by Reader.
+        # Whether the last calls to the store succeeded; set by Reader.
         self.store_available = True
         state.on_document.append(self._push_document)
         state.on_registry.append(self._push_registry)
