--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -21,7 +21,7 @@
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.relay import Relay
 from ragwortferry.mesh.state import MeshState
-from ragwortferry.platform.config import decode_document
+from ragwortferry.platform.config import DocumentDecoder
 from ragwortferry.platform.names import READY_PATH
 from ragwortferry.platform.settings import load_node_settings
 from ragwortferry.platform.store import StoreClient
@@ -101,7 +101,7 @@
         """Build the services and register them in the order in which they start."""
         settings, kernel, log = self._settings, self._kernel, self._log
         state = kernel.add(
-            "knowledge", MeshState(decode_document, log.component("state"))
+            "knowledge", MeshState(DocumentDecoder().decode, log.component("state"))
         )
         metrics = kernel.add("metrics", NodeMetrics(settings.name, settings.zone))
         store = StoreClient(settings.store_address, settings.host)
--- a/ragwortferry/platform/config.py
+++ b/ragwortferry/platform/config.py
@@ -1,7 +1,8 @@
 """Decoder of the operator's configuration."""
 
-__all__ = ["decode_document"]
+__all__ = ["DocumentDecoder", "decode_document"]
 
+from collections.abc import Iterable
 from typing import Annotated
 
 import msgspec
@@ -54,10 +55,13 @@
 
 
 class _Listener(Struct):
-    """The rules of one host name; all host names share one listening port."""
+    """The rules of one host name; all host names share one listening port.
+
+    :param rules: encoded rules; most are the same as in the version before.
+    """
 
     host: NonEmptyStr
-    rules: tuple[_Rule, ...]
+    rules: tuple[msgspec.Raw, ...]
 
 
 class _Cluster(Struct):
@@ -83,28 +87,34 @@
 
 
 _DECODER = msgspec.json.Decoder(_Config)
+_RULE_DECODER = msgspec.json.Decoder(_Rule)
 
 
-def decode_document(data: bytes) -> Result[Document, str]:
-    """Return the decoded document, or the reason why it is invalid.
+class DocumentDecoder:
+    """Decodes successive versions, and decodes again only the rules that changed.
 
-    An invalid part makes the whole document invalid.
-
-    >>> decode_document(b"[]").is_error()
-    True
+    The result is the same as that of decoding the whole document.
     """
-    try:
-        config = _DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(str(error))
-    services = {
-        item.name: Service(item.name, item.health_path, item.max_connections)
-        for item in config.services
-    }
-    hosts: dict[str, tuple[Route, ...]] = {}
-    for listener in config.hosts:
-        routes = [_to_route(listener.host, rule) for rule in listener.rules]
-        for route in routes:
+
+    def __init__(self):
+        # Routes of the last valid document, by host and encoded rule.
+        self._routes: dict[tuple[str, bytes], Route] = {}
+
+    def decode(self, data: bytes) -> Result[Document, str]:
+        """Return the decoded document, or the reason why it is invalid.
+
+        An invalid part makes the whole document invalid.
+        """
+        try:
+            config = _DECODER.decode(data)
+            routes = self._decode_routes(config.hosts)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return Error(str(error))
+        services = {
+            item.name: Service(item.name, item.health_path, item.max_connections)
+            for item in config.services
+        }
+        for route in routes.values():
             unknown = [
                 d.service for d in route.destinations if d.service not in services
             ]
@@ -112,12 +122,49 @@
                 return Error(
                     f"rule {route.name!r}: destinations missing or unknown: {unknown}"
                 )
-        host = listener.host.lower()
-        routes += hosts.get(host, ())
-        hosts[host] = tuple(sorted(routes, key=lambda item: -len(item.prefix)))
-    version = int(config.version.removeprefix(VERSION_PREFIX))
-    digest = xxhash.xxh3_64_hexdigest(data)
-    return Ok(Document(version, digest, _to_limits(config.limits), hosts, services))
+        self._routes = routes
+        version = int(config.version.removeprefix(VERSION_PREFIX))
+        digest = xxhash.xxh3_64_hexdigest(data)
+        limits = _to_limits(config.limits)
+        hosts = _routes_by_host(routes.values())
+        return Ok(Document(version, digest, limits, hosts, services))
+
+    def _decode_routes(
+        self, listeners: tuple[_Listener, ...]
+    ) -> dict[tuple[str, bytes], Route]:
+        """Return the routes of all hosts, by host and encoded rule.
+
+        If two listeners have the same host, the rules of the later one go first.
+        """
+        known, routes = self._routes, {}
+        for listener in reversed(listeners):
+            for raw in listener.rules:
+                key = (listener.host, bytes(raw))
+                route = known.get(key)
+                if route is None:
+                    route = _to_route(listener.host, _RULE_DECODER.decode(raw))
+                routes[key] = route
+        return routes
+
+
+def decode_document(data: bytes) -> Result[Document, str]:
+    """Return a decoded document, or the reason why it is invalid.
+
+    >>> decode_document(b"[]").is_error()
+    True
+    """
+    return DocumentDecoder().decode(data)
+
+
+def _routes_by_host(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return the routes of each host, longest prefix first."""
+    hosts: dict[str, list[Route]] = {}
+    for route in routes:
+        hosts.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(items, key=lambda item: -len(item.prefix)))
+        for host, items in hosts.items()
+    }
 
 
 def _to_limits(limits: _Limits) -> Limits:
--- a/ragwortferry/platform/tests/test_decoders.py
+++ b/ragwortferry/platform/tests/test_decoders.py
@@ -1,13 +1,14 @@
 """Platform input is decoded, and malformed input rejected with a reason."""
 
 import json
+import random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from ragwortferry.exceptions import SettingsError
-from ragwortferry.platform.config import decode_document
+from ragwortferry.platform.config import DocumentDecoder, decode_document
 from ragwortferry.platform.registry import decode_upstream
 from ragwortferry.platform.settings import load_node_settings, settings_path
 from ragwortferry.tests.mesh_builders import a_config, a_registry_entry
@@ -138,3 +139,39 @@
 def test_missing_settings_variable_raises_error_naming_it():
     with pytest.raises(SettingsError, match="RAGWORTFERRY_SETTINGS"):
         settings_path({})
+
+
+def test_decoding_only_changed_rules_gives_the_same_document_as_decoding_all():
+    rng = random.Random(3)
+    decoder, rules = DocumentDecoder(), _rules(40)
+    for version in range(1, 60):
+        for _ in range(rng.randint(0, 4)):
+            rule = rng.choice(rules)
+            change = rng.choice(["timeout", "service", "prefix", "drop"])
+            if change == "timeout":
+                rule["action"]["timeout_s"] = rng.choice([1, 2.5, -1])
+            elif change == "service":
+                rule["action"]["service"] = rng.choice(["tablero", "archivo", "none"])
+            elif change == "prefix":
+                rule["match"]["prefix"] = rng.choice(["/a/", "/a/b/", "a"])
+            else:
+                rules.remove(rule)
+                rules.extend(_rules(1))
+        hosts = [
+            {"host": "Boards.example", "rules": rules[::2]},
+            {"host": "boards.example", "rules": rules[1::2]},
+        ]
+        data = json.dumps(a_config(f"r{version}", listeners=hosts)).encode()
+        found, expected = decoder.decode(data), decode_document(data)
+        assert found.is_ok() == expected.is_ok()
+        if expected.is_ok():
+            assert found.ok == expected.ok
+        else:
+            rules = _rules(40)
+
+
+def _rules(count: int) -> list[dict]:
+    return [
+        json.loads(json.dumps(rule))
+        for rule in (a_config()["listeners"][0]["rules"] * count)[:count]
+    ]
