Wait for the end of a link instead of polling it

Cause: one task a link woke up 20 times a second only to see that the link is open: about 70 links a node, 106,000 wake-ups a second on 76 nodes. Class: work that grows with the fleet and not with what happens. Change: the task waits for an event that a lost link, a change of the registry and the last pending reply set. A link that is no longer wanted now closes when its last reply has arrived.

--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -112,6 +112,8 @@
         self.unreachable_since = NEVER
         self.dialed_once = False
         self.wanted = True
+        # Set when the link is lost, or the peer may no longer be wanted.
+        self.changed = asyncio.Event()
         # Set when the peer dials this node, which shows that it can be reached again.
         self.redial_now = asyncio.Event()
 
@@ -120,6 +122,12 @@
         """Return whether the last dial failed or the link was lost."""
         return self.unreachable_since is not NEVER
 
+    async def wait_until_unused(self, link: Link) -> None:
+        """Wait until the link is lost, or is neither wanted nor in use."""
+        while not link.closed and (self.wanted or self.pending):
+            self.changed.clear()
+            await self.changed.wait()
+
     def mark_unreachable(self, now: float) -> None:
         """Record that the peer cannot be reached."""
         self.dialed_once = True
@@ -347,6 +355,7 @@
             self._peer(host)
         for host, peer in self._peers.items():
             peer.wanted = host in hosts
+            peer.changed.set()
             if peer.link is not None:
                 self._update_subscription(peer.link)
 
@@ -392,12 +401,9 @@
             )
             peer.connected.set()
             backoff.reset()
-            while not link.closed and peer.wanted:
-                await asyncio.sleep(CHECK_INTERVAL_S)
-            if not peer.pending and not link.closed:
+            await peer.wait_until_unused(link)
+            if not link.closed:
                 link.close("peer has no upstream in the registry")
-            while not link.closed:
-                await asyncio.sleep(CHECK_INTERVAL_S)
         if not peer.pending and self._peers.get(peer.address.host) is peer:
             del self._peers[peer.address.host]
 
@@ -465,6 +471,7 @@
         if peer is None:
             return
         peer.link = None
+        peer.changed.set()
         self._schedule_update()
         peer.mark_unreachable(asyncio.get_running_loop().time())
         peer.connected.clear()
@@ -544,7 +551,11 @@
         peer = self._peer_by_link(link)
         if peer is None:
             return None
-        return peer.pending.pop(key, None) if last else peer.pending.get(key)
+        if not last:
+            return peer.pending.get(key)
+        if not peer.wanted:
+            peer.changed.set()
+        return peer.pending.pop(key, None)
 
     def _peer_by_link(self, link: Link) -> _Peer | None:
         """Return the peer whose dialed link this is, ``None`` for an accepted link."""
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+import ragwortferry.mesh.peers as peers_module
 import ragwortferry.mesh.relay as relay_module
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.kernel import Kernel
@@ -570,3 +571,35 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+def test_idle_links_wake_no_task(monkeypatch):
+    async def scenario():
+        sleeps = []
+
+        async def sleep(seconds):
+            sleeps.append(seconds)
+
+        peers, peer = _peers_with_one_link()
+        link = peer.link
+
+        async def dial(_):
+            peer.wanted = True
+            return link
+
+        monkeypatch.setattr(peers, "_dial", dial)
+        monkeypatch.setattr(peers_module.asyncio, "sleep", sleep)
+        link.close = lambda reason: setattr(link, "closed", True)
+        task = asyncio.get_running_loop().create_task(peers._maintain(peer))
+        await peer.connected.wait()
+        peer.pending["k"] = object()
+        peer.wanted = False
+        peer.changed.set()
+        await asyncio.wait([task], timeout=0.2)
+        assert not sleeps and not link.closed and not task.done()
+        peer.pending.clear()
+        peer.changed.set()
+        await asyncio.wait_for(task, 1.0)
+        assert link.closed
+
+    asyncio.run(scenario())
