Free the slot of a request that is cancelled before it starts

Cause: a cancellation that came with its request, as they do from a link with queued bytes, cancelled a task that had not begun, whose cleanup never ran: the slot stayed taken for good. Of a request that may run only once, the cancellation was ignored although nothing had been sent. Class: cleanup inside the task that it cleans up after. Change: the slot is freed by a callback of the task; what was not yet sent is always cancelled.

--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -59,6 +59,9 @@
     :param sink: receives the reply.
     :param submitted_at: loop time at which the attempt arrived.
     :param cancelled: whether the sender has withdrawn the attempt.
+    :param sent: whether the upstream may have received the request.
+    :param measured: whether its service time is a valid sample.
+    :param timed_out: whether it reached its deadline.
     """
 
     attempt: Attempt
@@ -67,6 +70,9 @@
     submitted_at: float
     task: asyncio.Task | None = None
     cancelled: bool = False
+    sent: bool = False
+    measured: bool = False
+    timed_out: bool = False
 
 
 class Owner:
@@ -190,12 +196,15 @@
     def cancel(self, attempt_state: AttemptState) -> None:
         """Withdraw an attempt.
 
-        A running attempt is cancelled only if it is idempotent.
+        A running attempt that was sent to the upstream is cancelled only if it is
+        idempotent.
         """
         attempt_state.cancelled = True
         if self._admission.cancel(attempt_state.job):
             self._attempts.pop(id(attempt_state), None)
-        elif attempt_state.task is not None and attempt_state.attempt.idempotent:
+        elif attempt_state.task is not None and (
+            attempt_state.attempt.idempotent or not attempt_state.sent
+        ):
             attempt_state.task.cancel()
 
     def _rejection(self, attempt: Attempt, now: float) -> Failure | None:
@@ -260,6 +269,21 @@
         while (job := self._admission.start_next(loop.time())) is not None:
             attempt_state: AttemptState = job.payload
             attempt_state.task = loop.create_task(self._run(attempt_state))
+            # A task that is cancelled before it starts runs none of its own code.
+            attempt_state.task.add_done_callback(
+                lambda _, ended=attempt_state: self._release(ended)
+            )
+
+    def _release(self, attempt_state: AttemptState) -> None:
+        """Free the slot of an attempt whose task has ended."""
+        self._admission.finish(
+            attempt_state.job,
+            asyncio.get_running_loop().time(),
+            attempt_state.measured,
+            attempt_state.timed_out,
+        )
+        self._attempts.pop(id(attempt_state), None)
+        self._start_next()
 
     async def _expire_periodically(self) -> None:
         while True:
@@ -268,13 +292,12 @@
             self._start_next()
 
     async def _run(self, attempt_state: AttemptState) -> None:
-        loop = asyncio.get_running_loop()
         response = _UpstreamResponse(attempt_state)
-        measured = timed_out = False
         try:
             await self._forward(attempt_state, response)
             measured = response.ended and response.ran and not response.failed
-            timed_out = response.timed_out
+            attempt_state.measured = measured
+            attempt_state.timed_out = response.timed_out
             self.ran += response.ran
             if measured:
                 self._sizes.update(attempt_state.attempt.route, float(response.size))
@@ -283,10 +306,6 @@
         except asyncio.CancelledError:
             if not attempt_state.cancelled:
                 raise
-        finally:
-            self._admission.finish(attempt_state.job, loop.time(), measured, timed_out)
-            self._attempts.pop(id(attempt_state), None)
-            self._start_next()
 
     async def _forward(
         self, attempt_state: AttemptState, response: "_UpstreamResponse"
@@ -307,7 +326,7 @@
             return
         failure = None
         try:
-            failure = await self._send(connection, attempt, response)
+            failure = await self._send(connection, attempt_state, response)
         finally:
             if response.ended and failure is None:
                 self._pool.release(connection)
@@ -322,10 +341,10 @@
     async def _send(
         self,
         connection: ClientConnection,
-        attempt: Attempt,
+        attempt_state: AttemptState,
         response: "_UpstreamResponse",
     ) -> Failure | None:
-        loop = asyncio.get_running_loop()
+        loop, attempt = asyncio.get_running_loop(), attempt_state.attempt
         remaining_s = attempt.deadline - loop.time()
         if remaining_s <= 0:
             return _not_run(
@@ -334,6 +353,7 @@
         data = encode_request(
             attempt.method, attempt.target, _headers(attempt, remaining_s), attempt.body
         )
+        attempt_state.sent = True
         connection.send(data, response, attempt.method == "HEAD")
         try:
             async with asyncio.timeout(remaining_s + RESPONSE_MARGIN_S):
--- /dev/null
+++ b/ragwortferry/mesh/tests/test_owner.py
@@ -0,0 +1,105 @@
+"""Attempts at their owner, with a server in place of the upstream."""
+
+import asyncio
+
+import pytest
+
+from ragwortferry.mesh.attempt import Reply
+from ragwortferry.mesh.owner import INITIAL_SLOTS, Owner
+from ragwortferry.mesh.state import MeshState
+from ragwortferry.platform.config import decode_document
+from ragwortferry.tests.mesh_builders import a_pacer, an_attempt, null_log
+from ragwortferry.utils.sockets import Address
+
+
+class FakeRecorder:
+    """Ignores the recorded attempts."""
+
+    def attempt(self, attempt, details, failure, revision):
+        """Do nothing."""
+
+
+class CountingUpstream(asyncio.Protocol):
+    """Counts the requests that reach the upstream and never responds."""
+
+    received = 0
+
+    def data_received(self, data):
+        CountingUpstream.received += data.count(b"HTTP/1.1\r\n")
+
+
+@pytest.fixture
+def run_with_owner():
+    """Run a scenario with an owner whose upstream never responds."""
+
+    def run(scenario):
+        async def main():
+            CountingUpstream.received = 0
+            loop = asyncio.get_running_loop()
+            server = await loop.create_server(CountingUpstream, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            state = MeshState(decode_document, null_log())
+            target = Address(host, port)
+            owner = Owner(state, a_pacer(), target, "127.0.0.1", FakeRecorder())
+            await owner.start()
+            await scenario(owner)
+            await owner.stop()
+            server.close()
+
+        asyncio.run(main())
+
+    return run
+
+
+def _attempt(number: int, idempotent: bool):
+    now = asyncio.get_running_loop().time()
+    return an_attempt(
+        key=f"k-{number}",
+        request_id=f"r{number}",
+        idempotent=idempotent,
+        deadline=now + 5,
+        objective=now + 4,
+    )
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_cancellation_that_arrives_with_its_request_frees_the_slot(
+    run_with_owner, idempotent
+):
+    async def scenario(owner):
+        for number in range(3 * INITIAL_SLOTS):
+            attempt_state = owner.submit(_attempt(number, idempotent), Reply())
+            assert attempt_state is not None
+            owner.cancel(attempt_state)
+        await asyncio.sleep(0.1)
+        assert owner.load().running == 0 and owner.idle
+
+    run_with_owner(scenario)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_request_whose_caller_left_before_it_was_sent_does_not_reach_the_upstream(
+    run_with_owner, idempotent
+):
+    async def scenario(owner):
+        attempt_state = owner.submit(_attempt(1, idempotent), Reply())
+        await asyncio.sleep(0)
+        owner.cancel(attempt_state)
+        await asyncio.sleep(0.2)
+        assert CountingUpstream.received == 0
+        assert owner.load().running == 0 and owner.idle
+
+    run_with_owner(scenario)
+
+
+def test_unsafe_request_that_was_sent_runs_on_after_its_caller_left(run_with_owner):
+    async def scenario(owner):
+        attempt_state = owner.submit(_attempt(1, False), Reply())
+        async with asyncio.timeout(2):
+            while not CountingUpstream.received:
+                await asyncio.sleep(0.01)
+        owner.cancel(attempt_state)
+        await asyncio.sleep(0.05)
+        assert owner.load().running == 1
+
+    run_with_owner(scenario)
