--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -29,6 +29,9 @@
 ENTRY = "ragwortferry/requests/tests/test_entry.py"
 SLOTS = "ragwortferry/requests/tests/test_slots.py"
 BALANCE = "ragwortferry/requests/tests/test_balance.py"
+STORE_CLIENT = "ragwortferry/platform/tests/test_store.py"
+TRANSFERS = "ragwortferry/mesh/tests/test_transfers.py"
+MESH_OWNER = "ragwortferry/mesh/tests/test_owner.py"
 TEST_TIMEOUT_S = 180
 
 
@@ -279,6 +282,59 @@
         "                pass\n",
         f"{REQUESTS}::test_a_silent_pooled_connection_to_a_target_renews_the_pool",
     ),
+    Mechanism(
+        "timeout of stalled instead of long reads",
+        "ragwortferry/platform/store.py",
+        "min(loop.time() + STALL_TIMEOUT_S, ends_at)",
+        "limit.when()",
+        f"{STORE_CLIENT}::test_large_configuration_is_read_over_a_slow_network_link",
+    ),
+    Mechanism(
+        "health of each read of the store",
+        "ragwortferry/mesh/reader.py",
+        "if name in self._failing:\n            self._failing.discard(name)",
+        "if self._failing:\n            self._failing.clear()",
+        f"{TRANSFERS}::test_registry_reads_do_not_hide_that_the_configuration_cannot_"
+        "be_read",
+    ),
+    Mechanism(
+        "wide network links first",
+        "ragwortferry/mesh/relay.py",
+        "return -self._bandwidths.get(host, own), rank_key(zone, host)",
+        "return own, rank_key(zone, host)",
+        f"{TRANSFERS}::test_nodes_with_the_widest_network_links_read_the_store",
+    ),
+    Mechanism(
+        "changes of subscriptions",
+        "ragwortferry/mesh/peers.py",
+        "if wanted != link.own_subscription:",
+        "if False:",
+        f"{TRANSFERS}::test_node_that_becomes_a_child_on_an_open_link_receives_changes",
+    ),
+    Mechanism(
+        "differences between versions of the mesh",
+        "ragwortferry/mesh/relay.py",
+        "changes = state.changes_since_version(link.peer_version)",
+        "changes = None",
+        f"{TRANSFERS}::test_small_change_of_a_large_configuration_is_sent_as_a_"
+        "difference",
+    ),
+    Mechanism(
+        "parts of long state",
+        "ragwortferry/mesh/link.py",
+        "if not waiting and not self._pacer.paces(len(data)):",
+        "if True:",
+        f"{TRANSFERS}::test_short_message_does_not_wait_behind_a_configuration_in_"
+        "transfer",
+    ),
+    Mechanism(
+        "cancellation of what was not sent",
+        "ragwortferry/mesh/owner.py",
+        "attempt_state.attempt.idempotent or not attempt_state.sent",
+        "attempt_state.attempt.idempotent",
+        f"{MESH_OWNER}::test_request_whose_caller_left_before_it_was_sent_does_not_"
+        "reach_the_upstream",
+    ),
 ]
 
 
