Check queued requests only while there are any

Cause: each owner woke up 50 times a second to look for expired requests in a queue that is mostly empty. Class: work that does not depend on what happens, as with the tasks of links. Change: a timer runs while requests are queued.

--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -101,7 +101,7 @@
         self._sizes = RouteAverages(SMOOTHING)
         self._unreachable_until = 0.0
         self._failure_ratio = 0.0
-        self._expiry_task: asyncio.Task | None = None
+        self._expiry_timer: asyncio.TimerHandle | None = None
         self.draining = False
         self.refused = 0
         self.ran = 0
@@ -139,15 +139,12 @@
         )
 
     async def start(self) -> None:
-        """Start the periodic check of queued requests."""
-        self._expiry_task = asyncio.get_running_loop().create_task(
-            self._expire_periodically()
-        )
+        """Do nothing: connections are opened for the first attempts."""
 
     async def stop(self) -> None:
         """Cancel the running attempts and close the connections to the upstream."""
-        if self._expiry_task:
-            self._expiry_task.cancel()
+        if self._expiry_timer:
+            self._expiry_timer.cancel()
         for attempt_state in list(self._attempts.values()):
             if attempt_state.task:
                 attempt_state.task.cancel()
@@ -273,6 +270,7 @@
             attempt_state.task.add_done_callback(
                 lambda _, ended=attempt_state: self._release(ended)
             )
+        self._schedule_expiry()
 
     def _release(self, attempt_state: AttemptState) -> None:
         """Free the slot of an attempt whose task has ended."""
@@ -285,11 +283,16 @@
         self._attempts.pop(id(attempt_state), None)
         self._start_next()
 
-    async def _expire_periodically(self) -> None:
-        while True:
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
-            self._admission.expire(asyncio.get_running_loop().time())
-            self._start_next()
+    def _schedule_expiry(self) -> None:
+        """Check the queued requests again soon, as long as there are any."""
+        if self._expiry_timer is None and self._admission.queued:
+            loop = asyncio.get_running_loop()
+            self._expiry_timer = loop.call_later(EXPIRY_INTERVAL_S, self._expire)
+
+    def _expire(self) -> None:
+        self._expiry_timer = None
+        self._admission.expire(asyncio.get_running_loop().time())
+        self._start_next()
 
     async def _run(self, attempt_state: AttemptState) -> None:
         response = _UpstreamResponse(attempt_state)
--- a/ragwortferry/mesh/tests/test_owner.py
+++ b/ragwortferry/mesh/tests/test_owner.py
@@ -41,7 +41,6 @@
             state = MeshState(decode_document, null_log())
             target = Address(host, port)
             owner = Owner(state, a_pacer(), target, "127.0.0.1", FakeRecorder())
-            await owner.start()
             await scenario(owner)
             await owner.stop()
             server.close()
@@ -103,3 +102,35 @@
         assert owner.load().running == 1
 
     run_with_owner(scenario)
+
+
+def test_owner_without_queued_requests_sets_no_timer(run_with_owner):
+    async def scenario(owner):
+        attempts = [
+            owner.submit(_attempt(number, True), Reply())
+            for number in range(INITIAL_SLOTS + 1)
+        ]
+        assert owner.load().queued == 1
+        assert owner._expiry_timer is not None
+        for attempt_state in attempts:
+            owner.cancel(attempt_state)
+        await asyncio.sleep(0.1)
+        assert owner.idle and owner._expiry_timer is None
+
+    run_with_owner(scenario)
+
+
+def test_queued_request_that_can_no_longer_be_served_is_refused(run_with_owner):
+    async def scenario(owner):
+        loop = asyncio.get_running_loop()
+        for number in range(INITIAL_SLOTS):
+            owner.submit(_attempt(number, True), Reply())
+        late, reply = _attempt(99, True), Reply()
+        late.deadline = loop.time() + 0.3
+        late.objective = loop.time() + 0.25
+        assert owner.submit(late, reply) is not None
+        async with asyncio.timeout(1):
+            await reply.wait(1)
+        assert reply.failure is not None
+
+    run_with_owner(scenario)
