Start requests at the rate that the upstream advertises

Cause: the owner bounds how many requests run at once, and knew of no rate. A limit beside the slots existed in no decision.

Change: the owner, through which all requests to an upstream pass, starts queued requests by a token bucket with the rate last named. The wait that it causes is part of the queueing delay, so it enters refusals, Retry-After, expiry and the load report. The bucket starts empty and saves at most one request and a quarter of a second. A limit below 0.5 a second lets 0.5 through, so that its end is noticed; a limit of 0 only idempotent ones. Under a limit the share of lower priorities is one of the starts: few slots are in use, and by slots the lower ones would always go first.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -14,6 +14,7 @@
 
 from ragwortferry.exceptions import ErrorKind
 from ragwortferry.mesh.averages import RouteAverages
+from ragwortferry.mesh.ratelimit import RateLimit
 
 # Weight of the newest sample in a moving average.
 SMOOTHING = 0.1
@@ -127,6 +128,7 @@
         self._service_times = _ServiceTimes()
         self._start_shares: dict[int, float] = {}
         self._probed_at = -PROBE_INTERVAL_S
+        self._rate_limit: RateLimit | None = None
         self.slots = slots
 
     @property
@@ -144,13 +146,32 @@
         """Return the mean service time of the upstream, in seconds."""
         return self._service_times.mean_s
 
+    @property
+    def held(self) -> int:
+        """Return the number of queued jobs that wait for the rate limit, not a slot."""
+        free = max(0, self.slots - self.running)
+        return min(free, self.queued) if self._rate_limit else 0
+
+    def limit_rate(self, rate_per_s: float | None, now: float) -> None:
+        """Start jobs at no higher rate from now on, ``None`` to lift the limit."""
+        if rate_per_s is None:
+            self._rate_limit = None
+        elif self._rate_limit is None:
+            self._rate_limit = RateLimit(rate_per_s, now)
+        else:
+            self._rate_limit.set_rate(rate_per_s, now)
+
     def admit(self, job: Job, now: float) -> Refusal | None:
         """Queue a job, or return why it is refused; :meth:`start_next` starts it."""
         job.late_on_arrival = self._misses_objective(job, now)
         delay = self._queueing_delay(job, now) + job.send_delay_s
         if self._misses_deadline(job, now) and delay == 0:
             job.probe = self._try_probe(job, now)
-        if self._misses_deadline(job, now) or delay > self._max_wait(job, now):
+        if (
+            self._misses_deadline(job, now)
+            or delay > self._max_wait(job, now)
+            or not self._may_be_probe(job)
+        ):
             return Refusal(ErrorKind.OVERLOADED, self._retry_after(delay))
         if job.late_on_arrival:
             max_wait = max(MIN_LATE_WAIT_S, self._max_wait(job, now))
@@ -165,6 +186,8 @@
             if self._misses_deadline(job, now):
                 self._drop(job, now)
                 continue
+            if self._rate_limit and not self._rate_limit.try_take(now):
+                return None
             self._queue.remove(job)
             self._start(job, now)
             return job
@@ -173,34 +196,57 @@
     def _select(self, now: float) -> Job:
         """Return the queued job to start next.
 
-        Jobs below the highest queued priority go first while they hold less than their
-        share of the slots.
+        Jobs below the highest queued priority go first while they get less than their
+        share.
         """
         highest = min(item.priority for item in self._queue)
         lower = [item for item in self._queue if item.priority > highest]
-        lower_running = sum(item.priority > highest for item in self._running)
-        lower_first = (
-            bool(lower) and lower_running + 1 <= LOWER_PRIORITY_SHARE * self.slots
-        )
+        lower_first = bool(lower) and self._below_share(highest)
         return min(
             lower if lower_first else self._queue,
             key=lambda item: self._sort_key(item, now),
         )
 
+    def _below_share(self, highest: int) -> bool:
+        """Return whether jobs below a priority get less than their share.
+
+        It is a share of the slots, or of the starts if the rate is limited: few slots
+        are in use then.
+        """
+        if self._rate_limit:
+            shares = self._start_shares.items()
+            lower_share = sum(share for item, share in shares if item > highest)
+            return lower_share < LOWER_PRIORITY_SHARE
+        lower_running = sum(item.priority > highest for item in self._running)
+        return lower_running + 1 <= LOWER_PRIORITY_SHARE * self.slots
+
+    def _may_be_probe(self, job: Job) -> bool:
+        """Return whether a job may reach an upstream that accepts no requests."""
+        limit = self._rate_limit
+        return limit is None or limit.accepts_any or job.idempotent
+
     def _start(self, job: Job, now: float) -> None:
         job.running, job.started_at = True, now
         self._running.add(job)
         self._record_start(job.priority)
 
     def finish(
-        self, job: Job, now: float, measured: bool, timed_out: bool = False
+        self,
+        job: Job,
+        now: float,
+        measured: bool,
+        timed_out: bool = False,
+        sent: bool = True,
     ) -> None:
         """Free the slot of a job and record its service time.
 
         :param measured: whether its service time is a valid sample.
         :param timed_out: whether it reached its deadline.
+        :param sent: whether the upstream may have received it.
         """
         self._running.discard(job)
+        if self._rate_limit and not sent:
+            self._rate_limit.put_back(now)
         if measured or timed_out:
             elapsed_s = now - job.started_at
             self._service_times.update(
@@ -300,6 +346,9 @@
         delay = excess * self._service_times.mean_s / slots_left
         if any(item.priority < job.priority for item in self._queue):
             delay = min(delay, self._queueing_delay_in_share(job, key, now))
+        if self._rate_limit:
+            rate_share = 1 - min(1 - LOWER_PRIORITY_SHARE, higher_share)
+            delay = max(delay, self._rate_limit.delay(ahead, now) / rate_share)
         return delay
 
     def _queueing_delay_in_share(self, job: Job, key: tuple, now: float) -> float:
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -292,6 +292,7 @@
             asyncio.get_running_loop().time(),
             attempt_state.measured,
             attempt_state.timed_out,
+            attempt_state.sent,
         )
         self._attempts.pop(id(attempt_state), None)
         self._start_next()
@@ -337,7 +338,10 @@
                 return
         advertised = decode_advertised(head.headers)
         now = asyncio.get_running_loop().time()
-        self._advertised.record(upstream, advertised, attempt_state.sent_at, now, ran)
+        if self._advertised.record(
+            upstream, advertised, attempt_state.sent_at, now, ran
+        ):
+            self._admission.limit_rate(self._advertised.limit_per_s, now)
 
     async def _forward(
         self, attempt_state: AttemptState, response: "_UpstreamResponse"
--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -318,6 +318,89 @@
     assert retries <= 0.2 * 10_000 + 64
 
 
+def _simulate_limit(rates, limit: float, seconds: float = 60.0, seed: int = 1):
+    """Send Poisson arrivals by priority to an upstream that names a limit.
+
+    :return: starting times, requested and served jobs by priority, and the times that
+        refused jobs waited.
+    """
+    rng = random.Random(seed)
+    waits, starts = [], []
+    served, requested = dict.fromkeys(rates, 0), dict.fromkeys(rates, 0)
+    now = 0.0
+    admission = AdmissionQueue(
+        18, lambda job, refusal: waits.append(now - (job.objective_at - 0.5))
+    )
+    admission.limit_rate(limit, now)
+    running = []
+    while now < seconds:
+        now += min(0.02, rng.expovariate(sum(rates.values())))
+        _finish_ended(admission, running, now)
+        admission.expire(now)
+        if rng.random() < 0.9:
+            priority = rng.choices(list(rates), list(rates.values()))[0]
+            requested[priority] += 1
+            job = _job(now, priority)
+            job.idempotent = True
+            if admission.admit(job, now) is not None:
+                waits.append(0.0)
+        while (job := admission.start_next(now)) is not None:
+            starts.append(now)
+            served[job.priority] += 1
+            end = now + rng.uniform(0.05, 0.15)
+            heapq.heappush(running, (end, len(starts), job))
+    return starts, requested, served, waits
+
+
+def _most_in_window(times: list[float], window_s: float) -> int:
+    return max(sum(at <= other < at + window_s for other in times) for at in times)
+
+
+@pytest.mark.parametrize("limit", [0.5, 1, 4.6, 20])
+def test_limited_upstream_uses_its_limit_and_refuses_the_rest_at_once(limit):
+    starts, _, _, waits = _simulate_limit({1: 20, 2: 60}, limit)
+    assert _most_in_window(starts, 4.0) <= 1.5 * 4 * limit + 5
+    assert len(starts) >= 0.9 * limit * 60
+    # An eighth of the latency objective.
+    assert sum(wait <= 0.0625 for wait in waits) >= 0.9 * len(waits) > 0
+
+
+def test_limited_upstream_prefers_higher_priority_and_starves_none():
+    _, requested, served, _ = _simulate_limit({1: 10, 2: 60}, 16)
+    assert served[1] >= 0.75 * requested[1]
+    assert served[2] >= 0.2 * sum(served.values())
+
+
+def test_upstream_without_a_limit_starts_jobs_at_once():
+    admission = AdmissionQueue(4, lambda job, refusal: None)
+    admission.limit_rate(1.0, 0.0)
+    assert admission.admit(_job(0.9), 0.9) is None
+    assert admission.start_next(0.9) is None and admission.held == 1
+    admission.limit_rate(None, 0.91)
+    assert admission.start_next(0.91) is not None
+
+
+def test_only_idempotent_requests_reach_an_upstream_that_accepts_none():
+    admission = AdmissionQueue(4, lambda job, refusal: None)
+    admission.limit_rate(0.0, 0.0)
+    job = _job(2.0)
+    assert admission.admit(job, 2.0) is not None
+    job.idempotent = True
+    assert admission.admit(job, 2.0) is None
+    assert admission.start_next(2.0) is job
+
+
+def test_request_that_was_not_sent_does_not_count_against_the_limit():
+    admission = AdmissionQueue(4, lambda job, refusal: None)
+    admission.limit_rate(1.0, 0.0)
+    first, second = _job(1.0), _job(1.0)
+    admission.admit(first, 1.0)
+    assert admission.start_next(1.0) is first
+    admission.finish(first, 1.01, False, sent=False)
+    admission.admit(second, 1.01)
+    assert admission.start_next(1.01) is second
+
+
 def _balancer() -> Balancer:
     return Balancer("a", "10.0.0.1", 1000.0, random.Random(3))
 
--- a/ragwortferry/mesh/tests/test_limits.py
+++ b/ragwortferry/mesh/tests/test_limits.py
@@ -131,8 +131,10 @@
         machine.upstream.limit = "2"
         for item in mesh.machines:
             item.upstream.service_time_s = 0.2
+            item.upstream.slots = 18
+            await mesh.register(item)
         callers = Callers(mesh, mesh.machines[1:])
-        load = asyncio.create_task(callers.run(60, STABLE_WINDOW_S + 2 * WINDOW_S))
+        load = asyncio.create_task(callers.run(120, STABLE_WINDOW_S + 2 * WINDOW_S))
         await asyncio.sleep(STABLE_WINDOW_S + 1)
         if disturbance == "restart":
             await mesh.stop_node(machine, signal.SIGKILL)
