Place requests by the limits that upstreams advertise

Callers would see: refusals on the way, since an owner that starts requests slowly is idle by slots, so that entries took it for the best choice.

Cause: the load report had slots, waits and failures, but no rate; a reported wait counted as still due however old the report was.

Change: reports carry what the upstream advertises (a trailing field, which earlier builds ignore). An entry sends a limited upstream its part of the limit while others have room, at least once in 3 s so that the end of a low limit is noticed; beyond that the cheapest wins and the owner decides. The expected delay there is the reported wait less its age, plus what was sent since at the limit's rate. Upstreams whose limit does not allow the request in time are left out; if that leaves none, it is refused at once with the shortest expected delay as Retry-After. The lines of owners and entries name the limit, its upstream and its age; four gauges count held and refused.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -7,7 +7,7 @@
 arrival run after those of their priority that can still be on time.
 """
 
-__all__ = ["AdmissionQueue", "Job", "Refusal"]
+__all__ = ["AdmissionQueue", "Job", "Refusal", "max_wait"]
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -114,6 +114,21 @@
         return self.by_route.get(route, self.mean_s)
 
 
+def max_wait(objective_s: float, deadline_s: float, service_s: float) -> float:
+    """Return the maximum queueing delay of a request, in seconds.
+
+    :param objective_s: time left until its latency objective.
+    :param deadline_s: time left until its deadline.
+    :param service_s: its expected service time.
+
+    >>> max_wait(0.5, 2.0, 0.1), max_wait(0.05, 0.9, 0.1)
+    (0.2, 0.2)
+    """
+    if objective_s < service_s:
+        return LATE_MAX_WAIT_FRACTION * max(0.0, deadline_s - service_s)
+    return MAX_WAIT_FRACTION * (objective_s - service_s)
+
+
 class AdmissionQueue:
     """Bounds the concurrency of one upstream and queues further jobs by priority.
 
@@ -174,8 +189,7 @@
         ):
             return Refusal(ErrorKind.OVERLOADED, self._retry_after(delay))
         if job.late_on_arrival:
-            max_wait = max(MIN_LATE_WAIT_S, self._max_wait(job, now))
-            job.wait_until = now + max_wait
+            job.wait_until = now + max(MIN_LATE_WAIT_S, self._max_wait(job, now))
         self._queue.append(job)
         return None
 
@@ -319,9 +333,8 @@
     def _max_wait(self, job: Job, now: float) -> float:
         """Return the maximum queueing delay of a new job, in seconds."""
         service_s = self._service_times.get(job.route)
-        if job.late_on_arrival:
-            return LATE_MAX_WAIT_FRACTION * max(0.0, job.deadline_at - now - service_s)
-        return MAX_WAIT_FRACTION * (job.objective_at - now - service_s)
+        objective_s = float("-inf") if job.late_on_arrival else job.objective_at - now
+        return max_wait(objective_s, job.deadline_at - now, service_s)
 
     def _sort_key(self, job: Job, now: float) -> tuple[int, bool, float]:
         late = self._misses_objective(job, now)
--- a/ragwortferry/mesh/advertised.py
+++ b/ragwortferry/mesh/advertised.py
@@ -3,6 +3,7 @@
 __all__ = ["AdvertisedState"]
 
 from ragwortferry.logs import Log
+from ragwortferry.mesh.frames import Advertisement
 from ragwortferry.mesh.model import Advertised
 
 # Minimum interval between log lines about values that change with each response.
@@ -58,6 +59,21 @@
         self._log_change(before, now)
         return True
 
+    def message(self, sharers: int, now: float) -> Advertisement | None:
+        """Return what other nodes have to know, ``None`` if there is nothing.
+
+        :param sharers: number of nodes that share the limit.
+        """
+        if self.limit_per_s is None and not self.leaving:
+            return None
+        return Advertisement(
+            self.upstream,
+            self.limit_per_s,
+            round((now - self.named_at) * 1000),
+            self.leaving,
+            sharers,
+        )
+
     def _log_change(self, before: tuple, now: float) -> None:
         """Log a change, unless only the value of the limit changed a moment ago."""
         _, limit_before, leaving_before = before
--- a/ragwortferry/mesh/balance.py
+++ b/ragwortferry/mesh/balance.py
@@ -4,6 +4,9 @@
 them are out of date by the time they are used. A node adds the requests that it has
 sent since a report to the reported load, so that a burst of its own does not go to a
 single upstream. Upstreams of the own zone are preferred unless they are much slower.
+
+An upstream that names a limit gets from each node its part of the limit as long as
+others have room. Beyond it, the nodes compete for what is left, and the owner decides.
 """
 
 __all__ = ["Balancer", "UpstreamStats"]
@@ -12,8 +15,10 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
-from ragwortferry.mesh.frames import Load
+from ragwortferry.mesh.admission import max_wait
+from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.model import Upstream
+from ragwortferry.mesh.ratelimit import MIN_RATE_PER_S
 from ragwortferry.utils.egress import BYTES_PER_MBIT, MAX_UNPACED_BYTES
 
 # Weight of the newest sample in a moving average.
@@ -43,8 +48,14 @@
 REPORT_TTL_S = 5.0
 # Increase of the service time from an idle to a fully used upstream, as a fraction.
 FULL_SLOWDOWN_FRACTION = 0.3
+NEVER_S = float("inf")
 # Maximum number of upstreams compared for a request: more cost time and gain little.
 MAX_COMPARED = 24
+# Range of the random factor on the interval between the requests of a node to an
+# upstream with a limit, so that the nodes do not send at the same time.
+SHARE_JITTER = (0.75, 1.25)
+# Largest interval, so that the end of a very low limit is noticed.
+MAX_SHARE_INTERVAL_S = 3.0
 
 
 @dataclass(slots=True)
@@ -59,6 +70,7 @@
     :param ejected_until: time until which it is chosen only if all others are ejected.
     :param known_since: time at which this node learned of the upstream.
     :param cold_s: how long it was expected to be cold (slow after its start) then.
+    :param next_share_at: time at which this node has its next part of a limit.
     """
 
     load: Load | None = None
@@ -70,6 +82,7 @@
     ejected_until: float = -1e9
     known_since: float = 0.0
     cold_s: float = 0.0
+    next_share_at: float = -1e9
 
 
 class Balancer:
@@ -87,6 +100,13 @@
         self._link_mbps = link_mbps
         self._rng = rng
         self._stats: dict[str, UpstreamStats] = {}
+        # Ids of the upstreams whose last report names a limit.
+        self._limited: set[str] = set()
+
+    @property
+    def limited_count(self) -> int:
+        """Return the number of upstreams known to have a limit."""
+        return len(self._limited)
 
     def stats(self, upstream: Upstream, now: float) -> UpstreamStats:
         """Return the statistics of an upstream; start new ones if it is unknown."""
@@ -100,6 +120,30 @@
         """Drop the statistics of removed upstreams."""
         for name in ids:
             self._stats.pop(name, None)
+            self._limited.discard(name)
+
+    def advertisement(self, upstream: Upstream, now: float) -> Advertisement | None:
+        """Return the limit that an upstream names, as far as this node knows."""
+        if upstream.id not in self._limited:
+            return None
+        stats = self._stats[upstream.id]
+        if now - stats.reported_at >= REPORT_TTL_S:
+            return None
+        return stats.load.advertised
+
+    def limit_delay(
+        self, upstreams: Iterable[Upstream], now: float, priority: int
+    ) -> float | None:
+        """Return the shortest expected delay at upstreams with a limit, in seconds.
+
+        :return: ``None`` if no upstream has one.
+        """
+        delays = [
+            self.estimate(item, now, priority=priority)[0]
+            for item in upstreams
+            if self.advertisement(item, now) is not None
+        ]
+        return min(delays, default=None)
 
     def pick(
         self,
@@ -109,31 +153,63 @@
         now: float,
         response_bytes: float = 0.0,
         priority: int = 0,
+        objective_left_s: float = NEVER_S,
+        deadline_left_s: float = NEVER_S,
     ) -> Upstream | None:
         """Return the upstream with the lowest expected cost, ``None`` if there is none.
 
+        Upstreams whose limit does not allow the request in time are left out.
+
         :param excluded: ids of upstreams that were already tried.
         :param objective_s: latency objective of the request.
         :param response_bytes: expected size of the response.
         :param priority: priority of the request, 0 is the highest.
+        :param objective_left_s: time left until its latency objective.
+        :param deadline_left_s: time left until its deadline.
         """
         byte_penalty = min(MAX_BYTE_PENALTY, BYTE_PENALTY * response_bytes)
         zone_cost = (ZONE_PENALTY + byte_penalty) * objective_s
         mean_service_s = self._mean_service_s(upstreams, now)
         candidates = [item for item in upstreams if item.id not in excluded]
+
+        def has_room(item: Upstream) -> bool:
+            delay, service_s = self.estimate(item, now, mean_service_s, priority)
+            return delay <= max_wait(objective_left_s, deadline_left_s, service_s)
+
+        if self._limited:
+            candidates = [
+                item
+                for item in candidates
+                if self.advertisement(item, now) is None or has_room(item)
+            ]
         if len(candidates) > MAX_COMPARED:
             candidates = self._sample(candidates)
         available = [u for u in candidates if self.stats(u, now).ejected_until <= now]
-        best, best_cost = None, float("inf")
-        for item in available or candidates:
-            cost = self.cost(item, objective_s, now, mean_service_s, priority)
-            cost += self._transfer_s(item, response_bytes, now)
-            if item.zone != self._zone:
-                cost += zone_cost
-            if cost < best_cost:
-                best, best_cost = item, cost
+
+        def cheapest(items: list[Upstream]) -> Upstream | None:
+            best, best_cost = None, float("inf")
+            for item in items:
+                cost = self.cost(item, objective_s, now, mean_service_s, priority)
+                cost += self._transfer_s(item, response_bytes, now)
+                if item.zone != self._zone:
+                    cost += zone_cost
+                if cost < best_cost:
+                    best, best_cost = item, cost
+            return best
+
+        pool = available or candidates
+        within_share = [item for item in pool if self._within_share(item, now)]
+        best = cheapest(within_share)
+        if len(within_share) < len(pool) and (best is None or not has_room(best)):
+            best = cheapest(pool)
         return best
 
+    def _within_share(self, upstream: Upstream, now: float) -> bool:
+        """Return whether this node may use its part of an upstream's limit, if any."""
+        if self.advertisement(upstream, now) is None:
+            return True
+        return now >= self.stats(upstream, now).next_share_at
+
     def _mean_service_s(self, upstreams: Collection[Upstream], now: float) -> float:
         """Return the mean of the reported service times, in seconds."""
         loads = [self.stats(item, now).load for item in upstreams]
@@ -174,6 +250,7 @@
         """Return the expected queueing delay and service time, in seconds."""
         stats = self.stats(upstream, now)
         load = stats.load if now - stats.reported_at < REPORT_TTL_S else None
+        limited = load is not None and upstream.id in self._limited
         slots = load.slots if load else upstream.slots
         service_s = load.service_ms / 1000 if load else mean_service_s
         if now - stats.known_since < stats.cold_s:
@@ -187,6 +264,9 @@
             delay = reported + min(since_report, excess) * service_s / max(1, slots)
         else:
             delay = excess * service_s / max(1, slots)
+        if limited:
+            rate = max(MIN_RATE_PER_S, load.advertised.limit_per_s)
+            delay = max(0.0, delay - (now - stats.reported_at)) + since_report / rate
         utilization = min(1.0, occupied / max(1, slots))
         return delay, service_s * (1 + FULL_SLOWDOWN_FRACTION * utilization)
 
@@ -201,7 +281,13 @@
 
     def record_start(self, upstream: Upstream, now: float) -> None:
         """Record that a request is sent to an upstream."""
-        self.stats(upstream, now).in_flight += 1
+        stats = self.stats(upstream, now)
+        stats.in_flight += 1
+        advertised = self.advertisement(upstream, now)
+        if advertised is not None:
+            rate = max(MIN_RATE_PER_S, advertised.limit_per_s)
+            interval_s = min(MAX_SHARE_INTERVAL_S, advertised.sharers / rate)
+            stats.next_share_at = now + interval_s * self._rng.uniform(*SHARE_JITTER)
 
     def record_end(self, upstream: Upstream, now: float) -> None:
         """Record that a request has ended, with or without a response."""
@@ -212,6 +298,15 @@
         """Record the load that an owner reports about its upstream."""
         stats = self.stats(upstream, now)
         stats.load, stats.reported_at, stats.in_flight_base = load, now, stats.in_flight
+        advertised = load.advertised
+        if (
+            advertised is not None
+            and advertised.upstream == upstream.id
+            and advertised.limit_per_s is not None
+        ):
+            self._limited.add(upstream.id)
+        else:
+            self._limited.discard(upstream.id)
         if not load.accepting:
             stats.ejected_until = max(stats.ejected_until, now + 1.0)
 
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -10,6 +10,7 @@
 from ragwortferry.exceptions import ERROR_RESPONSES, ErrorKind, Outcome
 from ragwortferry.http1.messages import Request, end_to_end, get_header
 from ragwortferry.http1.server import Exchange, Server
+from ragwortferry.mesh.admission import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.balance import Balancer
@@ -54,6 +55,8 @@
 # failed, and would be repeated and fail again.
 SERVER_ERROR_RETRY_COST = 3
 MAX_CALLER_TIMEOUT_S = 3600.0
+# Maximum number of limits named in the log line of a refusal.
+MAX_LOGGED_LIMITS = 8
 
 # Refusals because of load, which do not count as failures of the upstream.
 _OVERLOAD_KINDS = (ErrorKind.OVERLOADED, ErrorKind.EXPIRED)
@@ -75,6 +78,7 @@
     :param failure: why the last failed attempt failed.
     :param response: last response of an upstream. Once there is one, the request has
         run, and the caller must not get a not-run error.
+    :param limits: limits because of which no further upstream was tried.
     """
 
     request: Request
@@ -91,6 +95,7 @@
     maybe_ran: bool = False
     failure: Failure | None = None
     response: Reply | None = None
+    limits: list[dict] = field(default_factory=list)
 
 
 class Entry:
@@ -137,10 +142,17 @@
         self._sizes = RouteAverages(SMOOTHING)
         self._ends_at = float("inf")
         self.in_flight = 0
+        # Requests refused because the limits of all upstreams were reached.
+        self.refused_for_limit = 0
         state.on_document.append(lambda document: self._apply_limits(document.limits))
         state.on_registry.append(lambda change: balancer.forget(change.removed.keys()))
         peers.on_load = self._record_load
 
+    @property
+    def limited_count(self) -> int:
+        """Return the number of upstreams known to have a limit."""
+        return self._balancer.limited_count
+
     async def start(self) -> None:
         """Start to accept connections."""
         await self._server.start()
@@ -271,13 +283,45 @@
             if item.id not in context.tried
             and self._peers.reachable(item.address.host, now)
         ]
-        return self._balancer.pick(
+        upstream = self._balancer.pick(
             reachable or known,
             context.tried,
             context.route.objective_s,
             now,
             self._sizes.get(context.route.name, 0.0),
             context.route.priority,
+            context.objective - now,
+            context.deadline - now,
+        )
+        if upstream is None and not context.tried:
+            context.failure = self._limit_failure(context, reachable or known, now)
+        return upstream
+
+    def _limit_failure(
+        self, context: RequestContext, upstreams: list[Upstream], now: float
+    ) -> Failure | None:
+        """Return the refusal if upstreams are left out because of their limits."""
+        balancer = self._balancer
+        delay = balancer.limit_delay(upstreams, now, context.route.priority)
+        if delay is None:
+            return None
+        self.refused_for_limit += 1
+        for item in upstreams[:MAX_LOGGED_LIMITS]:
+            if advertised := balancer.advertisement(item, now):
+                reported_at = balancer.stats(item, now).reported_at
+                age_ms = advertised.age_ms + (now - reported_at) * 1000
+                context.limits.append(
+                    {
+                        "upstream": item.id,
+                        "limit_per_s": advertised.limit_per_s,
+                        "limit_age_ms": round(age_ms),
+                    }
+                )
+        return Failure(
+            ErrorKind.OVERLOADED,
+            Outcome.NOT_RUN,
+            "the limits of all upstreams are reached",
+            min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, delay)),
         )
 
     async def _attempt(
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -1,6 +1,7 @@
 """Messages between nodes, encoded with msgpack."""
 
 __all__ = [
+    "Advertisement",
     "Announce",
     "Bandwidths",
     "Cancel",
@@ -29,6 +30,24 @@
 from ragwortferry.mesh.model import Upstream
 
 
+class Advertisement(Struct, array_like=True, frozen=True):
+    """What an upstream states about itself in its responses.
+
+    :param upstream: id of the upstream.
+    :param limit_per_s: requests per second that it accepts from all nodes together,
+        ``None`` if it names no limit.
+    :param age_ms: time since it last named the limit, in milliseconds.
+    :param leaving: whether it is about to exit.
+    :param sharers: number of nodes that share the limit.
+    """
+
+    upstream: str
+    limit_per_s: float | None
+    age_ms: float
+    leaving: bool
+    sharers: int = 1
+
+
 class Load(Struct, array_like=True, frozen=True):
     """Load report of an owner about its upstream.
 
@@ -42,6 +61,7 @@
         milliseconds.
     :param link_mbps: bandwidth of the instance's network link, in Mbit/s.
     :param send_ms: time until all waiting long responses are sent, in milliseconds.
+    :param advertised: what the upstream states about itself, ``None`` if nothing.
     """
 
     running: int
@@ -53,6 +73,7 @@
     waits_ms: dict[int, float]
     link_mbps: float
     send_ms: float
+    advertised: Advertisement | None = None
 
 
 class Hello(Struct, tag=1, array_like=True):
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -110,8 +110,12 @@
         self._unreachable_until = 0.0
         self._failure_ratio = 0.0
         self._expiry_timer: asyncio.TimerHandle | None = None
+        # Returns the number of nodes that send requests to the upstream; set by Peers.
+        self.count_sharers: Callable[[], int] = lambda: 1
         self.draining = False
         self.refused = 0
+        # The refusals among them because of the upstream's limit.
+        self.refused_for_limit = 0
         self.ran = 0
 
     @property
@@ -124,6 +128,11 @@
         """Return the limit that the upstream advertises, ``None`` if there is none."""
         return self._advertised.limit_per_s
 
+    @property
+    def held_for_limit(self) -> int:
+        """Return the number of attempts that wait for the upstream's limit."""
+        return self._admission.held
+
     @property
     def idle(self) -> bool:
         """Return whether no attempt is queued or running."""
@@ -132,12 +141,13 @@
     def load(self) -> Load:
         """Return the load report about the upstream for other nodes."""
         admission = self._admission
+        now = asyncio.get_running_loop().time()
         accepting = (
             self._target is not None
             and not self.draining
-            and asyncio.get_running_loop().time() >= self._unreachable_until
+            and now >= self._unreachable_until
         )
-        delays = admission.queueing_delays(asyncio.get_running_loop().time())
+        delays = admission.queueing_delays(now)
         service_ms = round(admission.service_s * 1000, 1)
         return Load(
             admission.running,
@@ -149,6 +159,7 @@
             {priority: round(delay * 1000, 1) for priority, delay in delays.items()},
             self._pacer.mbps,
             round(self._pacer.queueing_delay_s * 1000, 1),
+            self._advertised.message(self.count_sharers(), now),
         )
 
     async def start(self) -> None:
@@ -236,6 +247,14 @@
 
     def _failure_of(self, refusal: Refusal) -> Failure:
         detail = f"{self._admission.queued} queued, {self._admission.running} running"
+        if self.limit_per_s is not None:
+            self.refused_for_limit += 1
+            now = asyncio.get_running_loop().time()
+            age_s = now - self._advertised.named_at
+            detail += (
+                f", limit {self.limit_per_s:g}/s named by {self._advertised.upstream}"
+                f" {age_s:.1f} s ago"
+            )
         return _not_run(refusal.kind, detail, refusal.retry_after_s)
 
     def _refuse(self, attempt_state: AttemptState, failure: Failure) -> None:
@@ -265,6 +284,9 @@
             "running": self._admission.running,
             "queued": self._admission.queued,
         }
+        if self.limit_per_s is not None:
+            details["limit_per_s"] = self.limit_per_s
+            details["limit_age_ms"] = round((now - self._advertised.named_at) * 1000)
         self._recorder.attempt(
             attempt_state.attempt, details, failure, self._state.revision
         )
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -190,6 +190,7 @@
         self.on_round_trip: Callable[[float], None] = lambda seconds: None
         # Called with the delay of each check of the links, in seconds.
         self.on_loop_lag: Callable[[float], None] = lambda seconds: None
+        owner.count_sharers = lambda: len(self._accepted) + 1
         relay.links = lambda: self.links
         relay.record_bandwidth(address.host, pacer.mbps)
         relay.on_bandwidth = self._schedule_update
--- a/ragwortferry/mesh/recording.py
+++ b/ragwortferry/mesh/recording.py
@@ -65,6 +65,7 @@
         if not self._allow(now, bool(error)):
             return
         document = context.document
+        details = {"limits": context.limits} if context.limits else {}
         self._log.event(
             "request",
             "request ended",
@@ -84,6 +85,7 @@
             ms=round(elapsed_s * 1000, 1),
             deadline_ms=round((context.deadline - context.request.arrived) * 1000),
             attempts=context.attempts,
+            **details,
         )
 
     def attempt(
