--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -169,6 +169,7 @@
         _register_gauges(metrics, state, owner, peers, entry, store)
         metrics.add_counters("link_bytes", "message", lambda: pacer.bytes_by_kind)
         metrics.add_gauge("egress_delay_ms", lambda: pacer.queueing_delay_s * 1000)
+        owner.count_sharers = lambda: peers.accepted_count + 1
         peers.on_round_trip = metrics.record_round_trip
         peers.on_loop_lag = metrics.record_loop_lag
         reader.on_read = metrics.record_store_read
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -110,7 +110,7 @@
         self._unreachable_until = 0.0
         self._failure_ratio = 0.0
         self._expiry_timer: asyncio.TimerHandle | None = None
-        # Returns the number of nodes that send requests to the upstream; set by Peers.
+        # Returns the number of nodes that send requests to the upstream; set by Node.
         self.count_sharers: Callable[[], int] = lambda: 1
         self.draining = False
         self.refused = 0
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -190,7 +190,6 @@
         self.on_round_trip: Callable[[float], None] = lambda seconds: None
         # Called with the delay of each check of the links, in seconds.
         self.on_loop_lag: Callable[[float], None] = lambda seconds: None
-        owner.count_sharers = lambda: len(self._accepted) + 1
         relay.links = lambda: self.links
         relay.record_bandwidth(address.host, pacer.mbps)
         relay.on_bandwidth = self._schedule_update
@@ -211,6 +210,11 @@
         """Return the number of peers with an open link that this node has dialed."""
         return sum(peer.link is not None for peer in self._peers.values())
 
+    @property
+    def accepted_count(self) -> int:
+        """Return the number of open links that other nodes have dialed."""
+        return len(self._accepted)
+
     async def start(self) -> None:
         """Accept links and start to maintain and monitor them."""
         loop = asyncio.get_running_loop()
