Tell a restarted node which limit its upstream had named

Upstreams saw: after a restart of the node beside an upstream in need, as many requests at once as it has slots, before its first response named the limit again (24 in 4 s where 17 are allowed, with 18 slots).

Cause: the limit was kept by the owner alone. The users' rule excuses the machine where a request began, not the one beside the upstream.

Change: the hello of a node that dials names the limits that it knows of the upstreams at the other end (a trailing field that earlier builds ignore). A node that has had no response of its own yet takes over the latest of them, before any request comes over that link. Its own knowledge goes first from the first response on.

--- a/ragwortferry/mesh/advertised.py
+++ b/ragwortferry/mesh/advertised.py
@@ -26,7 +26,9 @@
         self.limit_per_s: float | None = None
         self.leaving = False
         # Loop time at which the limit was last named.
-        self.named_at = 0.0
+        self.named_at = float("-inf")
+        # Whether the upstream has responded to this process.
+        self._heard = False
 
     def record(
         self,
@@ -44,6 +46,7 @@
             upstream that names no limits, so it ends none.
         """
         before = (self.upstream, self.limit_per_s, self.leaving)
+        self._heard = True
         if upstream != self.upstream:
             self.upstream, self.limit_per_s, self.leaving = upstream, None, False
         if advertised.limit_per_s is not None:
@@ -59,6 +62,19 @@
         self._log_change(before, now)
         return True
 
+    def adopt(self, advertised: Advertisement, now: float) -> bool:
+        """Take over what another node knows, and return whether anything has changed.
+
+        Only a node that has no response of its own yet needs it, and of several
+        statements the latest.
+        """
+        named_at = now - advertised.age_ms / 1000
+        if self._heard or advertised.limit_per_s is None or named_at < self.named_at:
+            return False
+        self.upstream, self.limit_per_s = advertised.upstream, advertised.limit_per_s
+        self.named_at = named_at
+        return True
+
     def message(self, sharers: int, now: float) -> Advertisement | None:
         """Return what other nodes have to know, ``None`` if there is nothing.
 
--- a/ragwortferry/mesh/balance.py
+++ b/ragwortferry/mesh/balance.py
@@ -15,6 +15,8 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
+import msgspec
+
 from ragwortferry.mesh.admission import max_wait
 from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.model import Upstream
@@ -131,6 +133,17 @@
             return None
         return stats.load.advertised
 
+    def last_advertisement(
+        self, upstream: Upstream, now: float
+    ) -> Advertisement | None:
+        """Return the limit in the last report, however old, with its age as of now."""
+        if upstream.id not in self._limited:
+            return None
+        stats = self._stats[upstream.id]
+        advertised = stats.load.advertised
+        age_ms = advertised.age_ms + (now - stats.reported_at) * 1000
+        return msgspec.structs.replace(advertised, age_ms=round(age_ms))
+
     def limit_delay(
         self, upstreams: Iterable[Upstream], now: float, priority: int
     ) -> float | None:
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -15,7 +15,7 @@
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.balance import Balancer
 from ragwortferry.mesh.budget import RetryBudget
-from ragwortferry.mesh.frames import Load
+from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.model import Document, Limits, Route, Upstream
 from ragwortferry.mesh.owner import AttemptState, Owner
 from ragwortferry.mesh.peers import Peers
@@ -147,6 +147,7 @@
         state.on_document.append(lambda document: self._apply_limits(document.limits))
         state.on_registry.append(lambda change: balancer.forget(change.removed.keys()))
         peers.on_load = self._record_load
+        peers.advertised_at = self._advertised_at
 
     @property
     def limited_count(self) -> int:
@@ -187,6 +188,16 @@
             if item.address.host == host:
                 self._balancer.record_report(item, load, now)
 
+    def _advertised_at(self, host: str) -> list[Advertisement]:
+        """Return what this node knows of the upstreams at a host."""
+        now = asyncio.get_running_loop().time()
+        known = [
+            self._balancer.last_advertisement(item, now)
+            for item in self._state.upstreams.values()
+            if item.address.host == host
+        ]
+        return [item for item in known if item is not None]
+
     async def _handle(self, exchange: Exchange) -> None:
         """Serve one request; an unexpected exception becomes an internal error."""
         self.in_flight += 1
@@ -307,14 +318,12 @@
             return None
         self.refused_for_limit += 1
         for item in upstreams[:MAX_LOGGED_LIMITS]:
-            if advertised := balancer.advertisement(item, now):
-                reported_at = balancer.stats(item, now).reported_at
-                age_ms = advertised.age_ms + (now - reported_at) * 1000
+            if advertised := balancer.last_advertisement(item, now):
                 context.limits.append(
                     {
                         "upstream": item.id,
                         "limit_per_s": advertised.limit_per_s,
-                        "limit_age_ms": round(age_ms),
+                        "limit_age_ms": advertised.age_ms,
                     }
                 )
         return Failure(
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -25,7 +25,7 @@
     "encode_frame",
 ]
 
-from msgspec import Struct, msgpack
+from msgspec import Struct, field, msgpack
 
 from ragwortferry.mesh.model import Upstream
 
@@ -86,6 +86,8 @@
     :param version: version of the configuration that the sender enforces.
     :param revision: revision up to which the sender has the complete registry.
     :param link_mbps: bandwidth of the sender's instance, in Mbit/s.
+    :param advertised: what the sender knows of the upstreams beside the receiver. The
+        receiver may have been restarted since they stated it.
     """
 
     host: str
@@ -95,6 +97,7 @@
     version: int
     revision: int
     link_mbps: float
+    advertised: list[Advertisement] = field(default_factory=list)
 
 
 class Ping(Struct, tag=2, array_like=True):
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -3,7 +3,7 @@
 __all__ = ["Owner"]
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from ragwortferry.exceptions import ErrorKind, Outcome
@@ -19,7 +19,7 @@
 from ragwortferry.mesh.advertised import AdvertisedState
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
 from ragwortferry.mesh.averages import RouteAverages
-from ragwortferry.mesh.frames import Load
+from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.state import MeshState
 from ragwortferry.platform.advertised import decode_advertised
@@ -214,6 +214,13 @@
             return 0.0, 0.0
         return self._pacer.queueing_delay_s, self._pacer.transfer_s(size)
 
+    def adopt_advertised(self, advertised: Iterable[Advertisement]) -> None:
+        """Take over what another node knows about the upstream of this instance."""
+        now = asyncio.get_running_loop().time()
+        for item in advertised:
+            if self._advertised.adopt(item, now):
+                self._admission.limit_rate(item.limit_per_s, now)
+
     def cancel(self, attempt_state: AttemptState) -> None:
         """Withdraw an attempt.
 
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -13,6 +13,7 @@
 from ragwortferry.logs import Log
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
 from ragwortferry.mesh.frames import (
+    Advertisement,
     Cancel,
     Data,
     End,
@@ -186,6 +187,8 @@
         self._last_token = 0
         # Called with the host and the load report of each pong.
         self.on_load: Callable[[str, Load], None] = lambda host, load: None
+        # Returns what this node knows of the upstreams at a host; set by Entry.
+        self.advertised_at: Callable[[str], list[Advertisement]] = lambda host: []
         # Called with the round-trip time of a ping, in seconds.
         self.on_round_trip: Callable[[float], None] = lambda seconds: None
         # Called with the delay of each check of the links, in seconds.
@@ -464,6 +467,7 @@
                 state.version,
                 state.revision,
                 self._pacer.mbps,
+                self.advertised_at(link.host) if link.dialed else [],
             )
         )
 
@@ -517,6 +521,8 @@
                 link.host, link.zone = frame.host, frame.zone
                 link.subscribed, link.peer_mbps = frame.relays, frame.link_mbps
                 link.mark_hello_received()
+                if frame.advertised:
+                    self._owner.adopt_advertised(frame.advertised)
                 self._relay.record_bandwidth(frame.host, frame.link_mbps)
                 self._trigger_redial(link)
                 self._relay.on_hello(link, frame.version, frame.revision)
--- a/ragwortferry/mesh/tests/test_advertised.py
+++ b/ragwortferry/mesh/tests/test_advertised.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ragwortferry.mesh.advertised import AdvertisedState
+from ragwortferry.mesh.frames import Advertisement
 from ragwortferry.mesh.model import Advertised
 from ragwortferry.platform.advertised import decode_advertised
 from ragwortferry.tests.mesh_builders import null_log
@@ -54,3 +55,14 @@
     assert state.leaving and state.limit_per_s is None
     _record(state, 3.0, upstream="i-2")
     assert not state.leaving
+
+
+def test_node_adopts_the_latest_limit_that_others_know_until_it_hears_its_upstream():
+    state = AdvertisedState(null_log())
+    assert state.adopt(Advertisement("i-1", 5.0, 4000, False), 10.0)
+    assert not state.adopt(Advertisement("i-1", 9.0, 8000, False), 10.0)
+    assert state.adopt(Advertisement("i-1", 3.0, 1000, False), 10.0)
+    assert state.limit_per_s == 3.0
+    assert _record(state, 11.0)
+    assert state.limit_per_s is None
+    assert not state.adopt(Advertisement("i-1", 3.0, 0, False), 12.0)
