Send nothing to an upstream that says in its responses that it is leaving

Upstreams saw: requests long after they had said Server-Leaving, as long as the registry listed them as ready (60 to 64 later than drain_s in tests with 60 requests a second; the store may be away just then).

Change: the mesh state keeps which upstreams have said so, apart from their registry entries; they are not available, their owner refuses them, and both survive that an entry vanishes and returns. Only an entry with a later start of the same id ends it. The owner tells all nodes linked to it at once (an unsolicited load report), before the response itself; nodes that dial it tell a restarted owner in their hello. A limit ends at the same later start. A departure is attributed to the process that the registry listed when the request was sent.

--- a/ragwortferry/mesh/advertised.py
+++ b/ragwortferry/mesh/advertised.py
@@ -11,11 +11,11 @@
 
 
 class AdvertisedState:
-    """The limit that the own upstream names, and whether it is leaving.
+    """The limit that the own upstream names.
 
     A limit holds until a response states none. Responses may overtake each other, so
     the limit ends only with a response whose request was sent after the last response
-    that named it. Leaving is final for a process of the upstream.
+    that named it. That an upstream is leaving is part of the mesh state.
     """
 
     def __init__(self, log: Log):
@@ -24,7 +24,6 @@
         # Id of the upstream that the statements are about, empty before the first.
         self.upstream = ""
         self.limit_per_s: float | None = None
-        self.leaving = False
         # Loop time at which the limit was last named.
         self.named_at = float("-inf")
         # Whether the upstream has responded to this process.
@@ -38,32 +37,37 @@
         now: float,
         ran: bool,
     ) -> bool:
-        """Record what a response states, and return whether anything has changed.
+        """Record what a response states, and return whether the limit has changed.
 
         :param upstream: id of the upstream that sent the response.
         :param sent_at: loop time at which the request was sent.
         :param ran: whether the request ran. A refusal may come from a part of the
             upstream that names no limits, so it ends none.
         """
-        before = (self.upstream, self.limit_per_s, self.leaving)
+        before = self.limit_per_s
         self._heard = True
         if upstream != self.upstream:
-            self.upstream, self.limit_per_s, self.leaving = upstream, None, False
+            self.upstream, self.limit_per_s = upstream, None
         if advertised.limit_per_s is not None:
             self.limit_per_s, self.named_at = advertised.limit_per_s, now
         elif ran and not advertised.invalid and sent_at > self.named_at:
             self.limit_per_s = None
-        self.leaving = self.leaving or advertised.leaving
         if advertised.invalid:
             self._log_invalid(advertised.invalid, now)
-        after = (self.upstream, self.limit_per_s, self.leaving)
-        if after == before:
+        if self.limit_per_s == before:
             return False
         self._log_change(before, now)
         return True
 
+    def forget(self, upstream: str) -> bool:
+        """Drop the limit if an upstream that has started again had named it."""
+        if upstream != self.upstream or self.limit_per_s is None:
+            return False
+        self.limit_per_s = None
+        return True
+
     def adopt(self, advertised: Advertisement, now: float) -> bool:
-        """Take over what another node knows, and return whether anything has changed.
+        """Take over what another node knows, and return whether the limit has changed.
 
         Only a node that has no response of its own yet needs it, and of several
         statements the latest.
@@ -75,40 +79,18 @@
         self.named_at = named_at
         return True
 
-    def message(self, sharers: int, now: float) -> Advertisement | None:
-        """Return what other nodes have to know, ``None`` if there is nothing.
-
-        :param sharers: number of nodes that share the limit.
-        """
-        if self.limit_per_s is None and not self.leaving:
-            return None
-        return Advertisement(
-            self.upstream,
-            self.limit_per_s,
-            round((now - self.named_at) * 1000),
-            self.leaving,
-            sharers,
-        )
-
-    def _log_change(self, before: tuple, now: float) -> None:
+    def _log_change(self, before: float | None, now: float) -> None:
         """Log a change, unless only the value of the limit changed a moment ago."""
-        _, limit_before, leaving_before = before
-        if self.limit_per_s is None and limit_before is None:
-            if self.leaving == leaving_before:
-                return
-        value_only = None not in (self.limit_per_s, limit_before)
-        if value_only and self.leaving == leaving_before:
+        if None not in (self.limit_per_s, before):
             if now - self._logged_at < LOG_INTERVAL_S:
                 return
         self._logged_at = now
         limit = "no limit" if self.limit_per_s is None else f"{self.limit_per_s:g}/s"
-        leaving = ", leaving" if self.leaving else ""
         self._log.event(
             "advertised",
-            f"upstream {self.upstream} advertises {limit}{leaving}",
+            f"upstream {self.upstream} names {limit}",
             upstream=self.upstream,
             limit_per_s=self.limit_per_s,
-            leaving=self.leaving,
         )
 
     def _log_invalid(self, value: str, now: float) -> None:
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -7,6 +7,8 @@
 import random
 from dataclasses import dataclass, field
 
+import msgspec
+
 from ragwortferry.exceptions import ERROR_RESPONSES, ErrorKind, Outcome
 from ragwortferry.http1.messages import Request, end_to_end, get_header
 from ragwortferry.http1.server import Exchange, Server
@@ -187,16 +189,33 @@
         for item in self._state.upstreams.values():
             if item.address.host == host:
                 self._balancer.record_report(item, load, now)
+        self._record_leaving(host, load)
+
+    def _record_leaving(self, host: str, load: Load) -> None:
+        """Record that an upstream is leaving if its owner reports so."""
+        advertised = load.advertised
+        if advertised is not None and advertised.leaving:
+            self._state.mark_leaving(advertised.upstream, advertised.born_ms, host)
 
     def _advertised_at(self, host: str) -> list[Advertisement]:
         """Return what this node knows of the upstreams at a host."""
-        now = asyncio.get_running_loop().time()
-        known = [
-            self._balancer.last_advertisement(item, now)
-            for item in self._state.upstreams.values()
-            if item.address.host == host
-        ]
-        return [item for item in known if item is not None]
+        state, now = self._state, asyncio.get_running_loop().time()
+        found = []
+        for item in state.upstreams.values():
+            if item.address.host != host:
+                continue
+            advertised = self._balancer.last_advertisement(item, now)
+            leaving = state.is_leaving(item.id)
+            if advertised is None and leaving:
+                advertised = Advertisement(item.id, None, 0, True)
+            if advertised is not None:
+                born_ms = state.leaving_since(item.id)
+                found.append(
+                    msgspec.structs.replace(
+                        advertised, leaving=leaving, born_ms=born_ms
+                    )
+                )
+        return found
 
     async def _handle(self, exchange: Exchange) -> None:
         """Serve one request; an unexpected exception becomes an internal error."""
@@ -339,7 +358,12 @@
         """Make one attempt; return ``None`` if its response went to the caller."""
         loop = asyncio.get_running_loop()
         balancer = self._balancer
-        reply = Reply(lambda load: balancer.record_report(upstream, load, loop.time()))
+
+        def on_load(load: Load) -> None:
+            balancer.record_report(upstream, load, loop.time())
+            self._record_leaving(upstream.address.host, load)
+
+        reply = Reply(on_load)
         attempt = self._new_attempt(context, upstream)
         record = {"key": attempt.key, "upstream": upstream.id}
         context.attempts.append(record)
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -38,6 +38,8 @@
         ``None`` if it names no limit.
     :param age_ms: time since it last named the limit, in milliseconds.
     :param leaving: whether it is about to exit.
+    :param born_ms: start time of the process that stated it, as in the registry, 0 if
+        unknown.
     :param sharers: number of nodes that share the limit.
     """
 
@@ -45,6 +47,7 @@
     limit_per_s: float | None
     age_ms: float
     leaving: bool
+    born_ms: int = 0
     sharers: int = 1
 
 
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -170,6 +170,7 @@
         metrics.add_counters("link_bytes", "message", lambda: pacer.bytes_by_kind)
         metrics.add_gauge("egress_delay_ms", lambda: pacer.queueing_delay_s * 1000)
         owner.count_sharers = lambda: peers.accepted_count + 1
+        owner.on_news = peers.broadcast_load
         peers.on_round_trip = metrics.record_round_trip
         peers.on_loop_lag = metrics.record_loop_lag
         reader.on_read = metrics.record_store_read
@@ -282,6 +283,7 @@
     metrics.add_gauge("version", lambda: state.version)
     metrics.add_gauge("registry_revision", lambda: state.revision)
     metrics.add_gauge("upstreams", lambda: len(state.upstreams))
+    metrics.add_gauge("upstreams_leaving", lambda: state.leaving_count)
     metrics.add_gauge("links", lambda: peers.connected_count)
     metrics.add_gauge("in_flight", lambda: entry.in_flight)
     metrics.add_gauge("upstreams_limited", lambda: entry.limited_count)
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -21,7 +21,7 @@
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.recording import Recorder
-from ragwortferry.mesh.state import MeshState
+from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.advertised import decode_advertised
 from ragwortferry.platform.names import (
     CALLER_SERVICE_HEADER,
@@ -65,6 +65,8 @@
     :param cancelled: whether the sender has withdrawn the attempt.
     :param sent: whether the upstream may have received the request.
     :param sent_at: loop time at which it was sent.
+    :param born_ms: start time of the upstream's process according to the registry when
+        it was sent, 0 if unknown.
     :param measured: whether its service time is a valid sample.
     :param timed_out: whether it reached its deadline.
     """
@@ -77,6 +79,7 @@
     cancelled: bool = False
     sent: bool = False
     sent_at: float = 0.0
+    born_ms: int = 0
     measured: bool = False
     timed_out: bool = False
 
@@ -100,6 +103,7 @@
         self._state = state
         self._pacer = pacer
         self._target = target
+        self._own_host = own_host
         self._recorder = recorder
         self._pool = Pool(target, own_host) if target else None
         self._admission = AdmissionQueue(INITIAL_SLOTS, self._on_expired)
@@ -112,6 +116,11 @@
         self._expiry_timer: asyncio.TimerHandle | None = None
         # Returns the number of nodes that send requests to the upstream; set by Node.
         self.count_sharers: Callable[[], int] = lambda: 1
+        # Called when a limit begins or ends, or the upstream leaves; set by Node.
+        self.on_news: Callable[[], None] = lambda: None
+        # Start time of the upstream listed last at this instance, by its id.
+        self._born_ms: dict[str, int] = {}
+        state.on_registry.append(self._on_registry)
         self.draining = False
         self.refused = 0
         # The refusals among them because of the upstream's limit.
@@ -159,7 +168,23 @@
             {priority: round(delay * 1000, 1) for priority, delay in delays.items()},
             self._pacer.mbps,
             round(self._pacer.queueing_delay_s * 1000, 1),
-            self._advertised.message(self.count_sharers(), now),
+            self._advertisement(now),
+        )
+
+    def _advertisement(self, now: float) -> Advertisement | None:
+        """Return what the upstream states about itself, ``None`` if nothing."""
+        state, upstream = self._state, self._advertised.upstream
+        limit_per_s, leaving = self.limit_per_s, state.is_leaving(upstream)
+        if limit_per_s is None and not leaving:
+            return None
+        age_s = now - self._advertised.named_at if limit_per_s is not None else 0.0
+        return Advertisement(
+            upstream,
+            limit_per_s,
+            round(age_s * 1000),
+            leaving,
+            state.leaving_since(upstream),
+            self.count_sharers(),
         )
 
     async def start(self) -> None:
@@ -214,12 +239,19 @@
             return 0.0, 0.0
         return self._pacer.queueing_delay_s, self._pacer.transfer_s(size)
 
-    def adopt_advertised(self, advertised: Iterable[Advertisement]) -> None:
-        """Take over what another node knows about the upstream of this instance."""
+    def adopt_advertised(
+        self, advertised: Iterable[Advertisement], origin: str
+    ) -> None:
+        """Take over what another node knows about the upstream of this instance.
+
+        :param origin: IP address of the other node.
+        """
         now = asyncio.get_running_loop().time()
         for item in advertised:
             if self._advertised.adopt(item, now):
                 self._admission.limit_rate(item.limit_per_s, now)
+            if item.leaving:
+                self._state.mark_leaving(item.upstream, item.born_ms, origin)
 
     def cancel(self, attempt_state: AttemptState) -> None:
         """Withdraw an attempt.
@@ -242,6 +274,8 @@
         known = self._state.upstreams.get(attempt.upstream)
         if known is not None and known.draining:
             return _not_run(ErrorKind.LEAVING, "upstream is draining")
+        if self._state.is_leaving(attempt.upstream):
+            return _not_run(ErrorKind.LEAVING, "upstream says that it is leaving")
         if now < self._unreachable_until:
             detail = "upstream unreachable: connection failed"
             return _not_run(ErrorKind.CONNECT_FAILED, detail, CONNECT_RETRY_AFTER_S)
@@ -361,16 +395,35 @@
         A misdirected request was answered by the upstream that is now at the address.
         """
         upstream = attempt_state.attempt.upstream
+        born_ms = attempt_state.born_ms
         if head.status == MISDIRECTED:
             upstream = get_header(head.headers, INSTANCE_ID_HEADER)
             if not upstream:
                 return
+            known = self._state.upstreams.get(upstream)
+            born_ms = known.born_ms if known else 0
         advertised = decode_advertised(head.headers)
         now = asyncio.get_running_loop().time()
+        was_limited = self.limit_per_s is not None
         if self._advertised.record(
             upstream, advertised, attempt_state.sent_at, now, ran
         ):
-            self._admission.limit_rate(self._advertised.limit_per_s, now)
+            self._admission.limit_rate(self.limit_per_s, now)
+        news = was_limited != (self.limit_per_s is not None)
+        if advertised.leaving:
+            news |= self._state.mark_leaving(upstream, born_ms, self._own_host)
+        if news:
+            self.on_news()
+
+    def _on_registry(self, change: RegistryChange) -> None:
+        """Lift the limit of an upstream that has started again under its id."""
+        for item in change.upstreams:
+            restarted = item.born_ms > self._born_ms.get(item.id, item.born_ms)
+            if item.address.host == self._own_host:
+                self._born_ms = {item.id: item.born_ms}
+            if restarted and self._advertised.forget(item.id):
+                now = asyncio.get_running_loop().time()
+                self._admission.limit_rate(None, now)
 
     async def _forward(
         self, attempt_state: AttemptState, response: "_UpstreamResponse"
@@ -418,7 +471,9 @@
         data = encode_request(
             attempt.method, attempt.target, _headers(attempt, remaining_s), attempt.body
         )
+        known = self._state.upstreams.get(attempt.upstream)
         attempt_state.sent, attempt_state.sent_at = True, loop.time()
+        attempt_state.born_ms = known.born_ms if known else 0
         connection.send(data, response, attempt.method == "HEAD")
         try:
             async with asyncio.timeout(remaining_s + RESPONSE_MARGIN_S):
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -522,7 +522,7 @@
                 link.subscribed, link.peer_mbps = frame.relays, frame.link_mbps
                 link.mark_hello_received()
                 if frame.advertised:
-                    self._owner.adopt_advertised(frame.advertised)
+                    self._owner.adopt_advertised(frame.advertised, frame.host)
                 self._relay.record_bandwidth(frame.host, frame.link_mbps)
                 self._trigger_redial(link)
                 self._relay.on_hello(link, frame.version, frame.revision)
--- a/ragwortferry/mesh/state.py
+++ b/ragwortferry/mesh/state.py
@@ -20,6 +20,9 @@
 # Maximum number of removals that are kept; more than can be in flight between two
 # nodes.
 MAX_TOMBSTONES = 4_096
+# Maximum number of upstreams that are known to leave. An entry of one may vanish and
+# return, so they are kept for longer than the entries.
+MAX_LEAVING = 4_096
 
 Decoder = Callable[[bytes], Result[Document, str]]
 
@@ -54,6 +57,8 @@
         self._tombstones: dict[str, int] = {}
         # All removals after this revision are in the tombstones.
         self._pruned_revision = 0
+        # Start time of each upstream that has said itself that it is leaving, by id.
+        self._leaving: dict[str, int] = {}
         self._by_service: dict[str, list[Upstream]] | None = None
         self._history = DocumentHistory()
         self._refused: set[int] = set()
@@ -83,12 +88,63 @@
         """Return whether requests can be routed."""
         return self.document is not None and self.revision > 0
 
+    @property
+    def leaving_count(self) -> int:
+        """Return the number of registered upstreams that say they are leaving."""
+        return sum(name in self._upstreams for name in self._leaving)
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether an upstream has said in a response that it is leaving.
+
+        The registry may still list it as ready.
+        """
+        return name in self._leaving
+
+    def leaving_since(self, name: str) -> int:
+        """Return the start time of a leaving upstream's process, 0 if unknown."""
+        return self._leaving.get(name, 0)
+
+    def mark_leaving(self, name: str, born_ms: int, origin: str) -> bool:
+        """Record that an upstream says it is leaving.
+
+        Only a later start of the upstream ends this.
+
+        :param born_ms: start time of the process that said so, 0 if unknown.
+        :param origin: IP address of the node that heard it.
+        :return: whether this was not known.
+        """
+        known = self._upstreams.get(name)
+        if known is not None and 0 < born_ms < known.born_ms:
+            return False
+        if name in self._leaving:
+            return False
+        self._leaving[name] = born_ms or (known.born_ms if known else 0)
+        while len(self._leaving) > MAX_LEAVING:
+            self._leaving.pop(next(iter(self._leaving)))
+        self._by_service = None
+        self._log.event(
+            "upstream-leaving",
+            f"upstream {name} says that it is leaving",
+            upstream=name,
+            born_ms=born_ms,
+            origin=origin,
+        )
+        return True
+
+    def _end_leaving(self, item: Upstream) -> None:
+        """Forget that an upstream was leaving if it has started again since."""
+        born_ms = self._leaving.get(item.id)
+        if born_ms == 0:
+            self._leaving[item.id] = item.born_ms
+        elif born_ms is not None and item.born_ms > born_ms:
+            del self._leaving[item.id]
+
     def available_upstreams(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that are not draining."""
+        """Return the upstreams of a service that are not draining or leaving."""
         if self._by_service is None:
             self._by_service = {}
             for item in self._upstreams.values():
-                if not item.draining:
+                if not item.draining and item.id not in self._leaving:
                     self._by_service.setdefault(item.service, []).append(item)
         return self._by_service.get(service, [])
 
@@ -186,6 +242,7 @@
         for item in change.upstreams:
             if self._is_newer(item):
                 self._upstreams[item.id] = item
+                self._end_leaving(item)
                 applied.upstreams.append(item)
         for name, revision in removals.items():
             self._remove(name, revision, applied)
--- a/ragwortferry/mesh/tests/test_placement.py
+++ b/ragwortferry/mesh/tests/test_placement.py
@@ -62,7 +62,7 @@
         advertised = None
         if limit is not None:
             name = self.upstreams[number].id
-            advertised = Advertisement(name, limit, 0.0, False, len(self.entries))
+            advertised = Advertisement(name, limit, 0, False, sharers=len(self.entries))
         delays = owner.queueing_delays(self.now)
         return a_load(
             running=owner.running,
