Play limits, departures and bytes without end in the soak

Change: the soak draws upstreams that name a limit (0, fractions, values that change each second, values that are no number) or say that they leave while the registry lists them as ready, draining or not at all, for 5 to 9 s, among its other faults, and starts with one of each; upstreams may send heads and bodies without end. It checks the users' rules for both (window, factor, allowance, times, excuses of a restarted or paused entry) and that no node exceeds 64 MB. An unanswered request that ran counts as broken off only if its upstream had responded without end: the head was passed on, and the protocol has no other way to tell that a streamed response failed.

--- a/benchmarks/delayed.py
+++ b/benchmarks/delayed.py
@@ -18,9 +18,16 @@
         self._delay_range_s = delay_range_s
         self._pending: set[asyncio.Task] = set()
 
-    def add(self, action: Callable[[], Awaitable[None]]) -> None:
-        """Run an action after a random delay."""
-        delay = self._rng.uniform(*self._delay_range_s)
+    def add(
+        self,
+        action: Callable[[], Awaitable[None]],
+        delay_range_s: tuple[float, float] | None = None,
+    ) -> None:
+        """Run an action after a random delay.
+
+        :param delay_range_s: minimum and maximum, by default those of all actions.
+        """
+        delay = self._rng.uniform(*(delay_range_s or self._delay_range_s))
 
         async def wait() -> None:
             await asyncio.sleep(delay)
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -11,6 +11,7 @@
 __all__ = ["Soak", "main", "run_seed"]
 
 import asyncio
+import itertools
 import json
 import random
 import re
@@ -27,6 +28,7 @@
 from benchmarks.delayed import DelayedActions
 from benchmarks.figures import Figures, Sample, second_of, write_figures
 from benchmarks.promises import Call, Findings, check_calls, check_versions
+from benchmarks.statements import Episode, check_statements
 from ragwortferry.utils.registry import Registry
 from standins.mesh import READY_PORT, Machine, Mesh
 from standins.network import Fault, Network
@@ -49,6 +51,14 @@
 # Maximum time between SIGTERM and the exit of a node.
 MAX_STOP_S = 6.0
 CHECK_PERIOD_S = 2.0
+# Range of the times for which upstreams name a limit or say that they are leaving.
+EPISODE_RANGE_S = (5.0, 9.0)
+# Values of the limit, of which those with several change each second, and values that
+# are no number.
+LIMITS = (("0",), ("1",), ("4.6",), ("2", "7.5", "0.5", "4"), ("-1", "many", "1e9"))
+LIMIT_CHANGE_S = 1.0
+# Limit of the memory of a node, in MB.
+MAX_MEMORY_MB = 64
 # Fraction of machines that kills, stops and pauses leave running.
 MIN_RUNNING_FRACTION = 0.34
 REQUEST_KINDS = (
@@ -115,6 +125,9 @@
         # Monotonic time at which a node last became unavailable or available again.
         self.disturbed_at: dict[str, float] = {}
         self.killed_at: dict[str, float] = {}
+        # All such times of each node, in ascending order.
+        self._disturbances: dict[str, list[float]] = {}
+        self.episodes: list[Episode] = []
         self.delayed = DelayedActions(self.rng, FAULT_DURATION_RANGE_S)
         self._started_at = time.monotonic()
         self._samples: list[Sample] = []
@@ -164,14 +177,38 @@
     def mark_unavailable(self, machine: Machine, kill: bool = False) -> None:
         """Record that a node is unavailable from now on."""
         self.unavailable.add(machine.name)
-        self.disturbed_at[machine.name] = time.monotonic()
+        self._record_disturbance_of(machine)
         if kill:
             self.killed_at[machine.name] = time.monotonic()
 
     def mark_available(self, machine: Machine) -> None:
         """Record that a node is available again."""
         self.unavailable.discard(machine.name)
-        self.disturbed_at[machine.name] = time.monotonic()
+        self._record_disturbance_of(machine)
+
+    def _record_disturbance_of(self, machine: Machine) -> None:
+        now = time.monotonic()
+        self.disturbed_at[machine.name] = now
+        self._disturbances.setdefault(machine.name, []).append(now)
+
+    def begin_episode(self, limit_per_s: float | None) -> Episode | None:
+        """Return a new episode of a random upstream, ``None`` if it has one already.
+
+        :param limit_per_s: highest limit that it names, ``None`` if it is leaving.
+        """
+        upstream = self.rng.choice(self.mesh.machines).upstream
+        if upstream.limit or upstream.leaving:
+            return None
+        upstream.stated_at = 0.0
+        episode = Episode(upstream, limit_per_s, time.monotonic())
+        self.episodes.append(episode)
+        return episode
+
+    def end_episode(self, episode: Episode) -> None:
+        """End an episode of an upstream."""
+        upstream = episode.upstream
+        episode.stated_at, episode.ended_at = upstream.stated_at, time.monotonic()
+        upstream.limit, upstream.leaving = "", False
 
     async def check_while_running(self, end: float) -> None:
         """Check the calls periodically and print new violations until the end."""
@@ -251,8 +288,11 @@
                 ) as response:
                     call.signature = response.headers.get("X-Response-Signature", "")
                     call.echoed_id = response.headers.get("X-Request-Id", "")
+                    call.limited = "Server-Limit" in response.headers
+                    call.leaving = "Server-Leaving" in response.headers
+                    call.truncated = True
                     call.body = await response.read()
-                    call.status = response.status
+                    call.status, call.truncated = response.status, False
         except TimeoutError:
             call.disconnected_at = time.monotonic() if disconnects else 0.0
         except aiohttp.ClientError:
@@ -289,9 +329,15 @@
         """Check all calls, versions and error records."""
         check_calls(self.mesh, self.calls, self.findings)
         check_versions(self.mesh, self.findings)
+        check_statements(self.episodes, self.calls, self._disturbances, self.findings)
         for machine in self.mesh.machines:
             for line in self.mesh.events(machine, "error"):
                 self.findings.record_violation("no error inside the program", line)
+            memory_mb = machine.max_memory_mb()
+            if memory_mb > MAX_MEMORY_MB:
+                self.findings.record_violation(
+                    "memory is bounded", f"{machine.name}: {memory_mb:.0f} MB"
+                )
 
     def report(self, seed: int) -> dict:
         """Return the summary of the run."""
@@ -303,6 +349,8 @@
             "answers": dict(Counter(str(call.status) for call in self.calls)),
             "median_ms": round(1000 * served[len(served) // 2], 1) if served else None,
             "versions": self.version,
+            "limits": sum(item.limit_per_s is not None for item in self.episodes),
+            "departures": sum(item.limit_per_s is None for item in self.episodes),
             "faults": dict(self.faults),
             "violations": dict(self.findings.violations),
         }
@@ -451,7 +499,9 @@
 @FAULTS.register("upstream")
 async def _upstream(soak: Soak) -> None:
     upstream = soak.rng.choice(soak.mesh.machines).upstream
-    upstream.fault = soak.rng.choice(["lost", "cut", "shed", ""])
+    upstream.fault = soak.rng.choice(
+        ["lost", "cut", "shed", "endless-head", "endless-body", ""]
+    )
     upstream.service_time_s = soak.rng.choice([0.01, 0.3])
 
     async def recover() -> None:
@@ -471,6 +521,65 @@
     soak.delayed.add(ready)
 
 
+@FAULTS.register("limit")
+async def _limit(soak: Soak) -> None:
+    values = soak.rng.choice(LIMITS)
+    highest = max((float(v) for v in values if v.replace(".", "").isdigit()), default=0)
+    # Values that are no number state nothing, so the upstream may get any rate.
+    episode = soak.begin_episode(highest if values[0] != "-1" else float("inf"))
+    if episode is None:
+        return
+    upstream, ends = episode.upstream, asyncio.Event()
+    upstream.limit = values[0]
+
+    async def change() -> None:
+        for value in itertools.cycle(values):
+            if ends.is_set():
+                return
+            upstream.limit = value
+            await asyncio.sleep(LIMIT_CHANGE_S)
+
+    changes = asyncio.get_running_loop().create_task(change())
+
+    async def end() -> None:
+        ends.set()
+        await changes
+        soak.end_episode(episode)
+
+    soak.delayed.add(end, EPISODE_RANGE_S)
+
+
+@FAULTS.register("leave")
+async def _leave(soak: Soak) -> None:
+    """Let an upstream say that it leaves, whatever the registry says of it.
+
+    It then starts again under its id.
+    """
+    episode = soak.begin_episode(None)
+    if episode is None:
+        return
+    upstream = episode.upstream
+    machine = next(m for m in soak.mesh.machines if m.upstream is upstream)
+    upstream.leaving = True
+    state = soak.rng.choice(["ready", "draining", "removed"])
+    if state == "removed":
+        await soak.mesh.store.delete(f"servers/{upstream.name}")
+    elif state == "draining":
+        await soak.mesh.register(machine, "draining")
+
+    async def again() -> None:
+        if upstream.leaving:
+            await soak.mesh.register(machine)
+
+    async def restart() -> None:
+        soak.end_episode(episode)
+        upstream.born_ms += 1000
+        await soak.mesh.register(machine)
+
+    soak.delayed.add(again)
+    soak.delayed.add(restart, EPISODE_RANGE_S)
+
+
 async def run_seed(seed: int, seconds: float, processes: int, folder: Path) -> Soak:
     """Run one seed and return the state of the run with its findings."""
     mesh = Mesh(folder, 250, network=Network())
@@ -484,6 +593,8 @@
             loop.create_task(part(end))
             for part in (soak.sample, soak.check_while_running)
         ]
+        for kind in ("limit", "leave"):
+            await FAULTS.get(kind)(soak)
         while time.monotonic() < end:
             kind = soak.rng.choice(FAULTS.names)
             soak.faults[kind] += 1
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -80,6 +80,17 @@
     link_proxy: FaultProxy | None = None
     upstream_proxy: FaultProxy | None = None
 
+    def max_memory_mb(self) -> float:
+        """Return the largest memory that the running node has used, 0 if none runs."""
+        if self.process is None or self.process.returncode is not None:
+            return 0.0
+        with contextlib.suppress(OSError):
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+            for line in status.splitlines():
+                if line.startswith("VmHWM"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
     def url(self, path: str) -> URL:
         """Return the URL for callers of this instance; the path is not re-encoded."""
         return URL(f"http://{self.host}:{OUTBOUND_PORT}{path}", encoded=True)
