Remember that another upstream has the address of one that was replaced

Callers saw: until the registry drops an upstream that was replaced at its address, each request for it went to the new one, was answered 421 and used up an arrival of the retry budget before it was tried elsewhere.

Change: for a second the owner refuses attempts at the former upstream without sending them, and entries leave it out for a second as they do for an upstream that cannot be reached.

Measured: test_upstream_whose_address_another_one_has_gets_no_further_ requests failed before (the second of five attempts was sent too), passes now. test_connection_that_carried_a_refusal_is_not_used_again passed before and after: a second copy of a refusal without an id finds no later request.

--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -50,7 +50,7 @@
 # time.
 MIN_TIME_FRACTION = 0.8
 # Time for which an upstream is ejected after it or its owner could not be reached, or
-# its owner refused an attempt because the upstream is draining.
+# its owner refused an attempt because the upstream is draining or replaced.
 EJECTION_S = 1.0
 SERVER_ERROR = 500
 # Budget that a retry after a server error takes: the upstream's own calls may have
@@ -62,6 +62,8 @@
 
 # Refusals because of load, which do not count as failures of the upstream.
 _OVERLOAD_KINDS = (ErrorKind.OVERLOADED, ErrorKind.EXPIRED)
+# Failures after which an upstream is ejected.
+_EJECTING_KINDS = (ErrorKind.CONNECT_FAILED, ErrorKind.LEAVING, ErrorKind.NOT_OWNER)
 
 
 @dataclass(slots=True, eq=False)
@@ -450,10 +452,8 @@
         context.refusals += not failure.sent
         context.maybe_ran |= failure.outcome is not Outcome.NOT_RUN
         if failure.kind not in _OVERLOAD_KINDS:
-            unreachable = failure.kind in (ErrorKind.CONNECT_FAILED, ErrorKind.LEAVING)
-            self._balancer.record_failure(
-                upstream, now, EJECTION_S if unreachable else 0.0
-            )
+            ejection_s = EJECTION_S if failure.kind in _EJECTING_KINDS else 0.0
+            self._balancer.record_failure(upstream, now, ejection_s)
 
     def _may_retry(self, context: RequestContext, reply: Reply) -> bool:
         """Return whether another attempt risks neither a duplicate nor an overload."""
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -51,6 +51,9 @@
 CONNECT_BACKOFF_S = 0.2
 # Retry-After time of these refusals.
 CONNECT_RETRY_AFTER_S = 0.3
+# Time for which attempts at an upstream are refused after another one has answered at
+# its address. The registry lists the former for some seconds.
+MISDIRECTED_S = 1.0
 MISDIRECTED, SERVER_ERROR, GATEWAY_TIMEOUT = 421, 500, 504
 # Statuses with which the upstream may state that a request did not run.
 NOT_RUN_STATUSES = (400, 421, 429, 503)
@@ -112,6 +115,8 @@
         self._sizes = RouteAverages(SMOOTHING)
         self._advertised = AdvertisedState(log)
         self._unreachable_until = 0.0
+        # Id of the upstream last found to be replaced at its address, and the time.
+        self._misdirected_until: dict[str, float] = {}
         self._failure_ratio = 0.0
         self._expiry_timer: asyncio.TimerHandle | None = None
         # Returns the number of nodes that send requests to the upstream; set by Node.
@@ -276,6 +281,8 @@
             return _not_run(ErrorKind.LEAVING, "upstream is draining")
         if self._state.is_leaving(attempt.upstream):
             return _not_run(ErrorKind.LEAVING, "upstream says that it is leaving")
+        if now < self._misdirected_until.get(attempt.upstream, now):
+            return _not_run(ErrorKind.NOT_OWNER, "another upstream has the address")
         if now < self._unreachable_until:
             detail = "upstream unreachable: connection failed"
             return _not_run(ErrorKind.CONNECT_FAILED, detail, CONNECT_RETRY_AFTER_S)
@@ -400,6 +407,9 @@
             upstream = get_header(head.headers, INSTANCE_ID_HEADER)
             if not upstream:
                 return
+            if upstream != attempt_state.attempt.upstream:
+                until = asyncio.get_running_loop().time() + MISDIRECTED_S
+                self._misdirected_until = {attempt_state.attempt.upstream: until}
             known = self._state.upstreams.get(upstream)
             born_ms = known.born_ms if known else 0
         advertised = decode_advertised(head.headers)
--- a/ragwortferry/mesh/tests/test_owner.py
+++ b/ragwortferry/mesh/tests/test_owner.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.mesh.attempt import Reply
 from ragwortferry.mesh.owner import INITIAL_SLOTS, Owner
 from ragwortferry.mesh.state import MeshState
@@ -136,3 +137,90 @@
         assert reply.failure is not None
 
     run_with_owner(scenario)
+
+
+def _run_with_upstream(protocol, scenario):
+    """Run a scenario with an owner whose upstream is served by a protocol class."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(protocol, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        state = MeshState(decode_document, null_log())
+        owner = Owner(
+            state, a_pacer(), Address(host, port), host, FakeRecorder(), null_log()
+        )
+        async with asyncio.timeout(5):
+            await scenario(owner)
+        await owner.stop()
+        server.close()
+
+    asyncio.run(main())
+
+
+async def _result(owner, number: int, upstream: str = "i-1") -> Reply:
+    attempt, reply = _attempt(number, True), Reply()
+    attempt.upstream = upstream
+    owner.submit(attempt, reply)
+    await reply.wait(2**20)
+    return reply
+
+
+class RespondingUpstream(asyncio.Protocol):
+    """Responds to each request with the same bytes and counts the requests."""
+
+    data = b""
+
+    def __init__(self):
+        self.received = []
+        RespondingUpstream.connections.append(self)
+
+    connections: list["RespondingUpstream"] = []
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.received.append(data)
+        self.transport.write(self.data)
+
+
+def _responding(data: bytes) -> type[RespondingUpstream]:
+    RespondingUpstream.connections.clear()
+    return type("Upstream", (RespondingUpstream,), {"data": data})
+
+
+def _received() -> int:
+    return sum(len(item.received) for item in RespondingUpstream.connections)
+
+
+def test_upstream_whose_address_another_one_has_gets_no_further_requests():
+    data = b"HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-2\r\n"
+
+    async def scenario(owner):
+        for number in range(5):
+            reply = await _result(owner, number)
+            assert reply.failure.kind is ErrorKind.NOT_OWNER
+            assert reply.failure.outcome is Outcome.NOT_RUN
+            assert reply.failure.sent == (number == 0)
+        await _result(owner, 9, "i-2")
+        assert _received() == 2
+
+    _run_with_upstream(_responding(data + b"Content-Length: 0\r\n\r\n"), scenario)
+
+
+def test_connection_that_carried_a_refusal_is_not_used_again():
+    refusal = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+    async def scenario(owner):
+        for number in range(3):
+            reply = await _result(owner, number)
+            assert reply.failure.kind is ErrorKind.SHED
+        assert [len(item.received) for item in RespondingUpstream.connections] == [
+            1,
+            1,
+            1,
+        ]
+
+    # A second copy, which has no id, could be taken for the next response.
+    _run_with_upstream(_responding(refusal * 2), scenario)
