Let a message that cannot be handled end its link or attempt, and log it

A failure of a kind that a newer build sends put all attempts of that link in doubt.

Change: the exception is logged with peer and kind of message, and only that link is closed. A failure of an unknown kind fails its attempt alone; not run is taken over only if it is said so in words that this build knows.

--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -506,7 +506,16 @@
             item.reply.on_reply_failed(failure, None)
 
     def frame_received(self, link: Link, frame: Frame) -> None:
-        """Dispatch a message by its type."""
+        """Handle a message; an unexpected exception closes only its link."""
+        try:
+            self._dispatch(link, frame)
+        except Exception as error:
+            kind = type(frame).__name__
+            self._log.error("cannot handle message", error, peer=link.host, kind=kind)
+            link.close(f"message {kind} cannot be handled")
+
+    def _dispatch(self, link: Link, frame: Frame) -> None:
+        """Handle a message by its type."""
         match frame:
             case Head():
                 if item := self._pending(link, frame.key):
--- a/ragwortferry/mesh/remote.py
+++ b/ragwortferry/mesh/remote.py
@@ -12,6 +12,8 @@
 from ragwortferry.mesh.window import Window
 from ragwortferry.utils.egress import PIECE_BYTES, Stream
 
+_ERROR_KINDS = frozenset(str(kind) for kind in ErrorKind)
+
 
 class LinkSink:
     """Sends the response of the own upstream back over a link.
@@ -127,11 +129,16 @@
 
 
 def failure_from_frame(frame: Failed) -> Failure:
-    """Return the failure that a message reports."""
-    return Failure(
-        ErrorKind(frame.kind),
-        Outcome(frame.ran),
-        frame.detail,
-        frame.retry_after_s,
-        frame.offered,
-    )
+    """Return the failure that a message reports.
+
+    A node of another build may send kinds and outcomes that this one does not know. An
+    unknown outcome proves nothing.
+    """
+    not_run = frame.ran == Outcome.NOT_RUN
+    outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
+    if frame.ran == Outcome.RAN:
+        outcome = Outcome.RAN
+    kind = ErrorKind.NO_UPSTREAM if not_run else ErrorKind.UPSTREAM_LOST
+    if frame.kind in _ERROR_KINDS:
+        kind = ErrorKind(frame.kind)
+    return Failure(kind, outcome, frame.detail, frame.retry_after_s, frame.offered)
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -9,7 +9,7 @@
 
 import ragwortferry.mesh.peers as peers_module
 import ragwortferry.mesh.relay as relay_module
-from ragwortferry.exceptions import ErrorKind, Outcome
+from ragwortferry.exceptions import ERROR_RESPONSES, ErrorKind, Outcome
 from ragwortferry.kernel import Kernel
 from ragwortferry.mesh.attempt import Reply
 from ragwortferry.mesh.frames import (
@@ -18,7 +18,9 @@
     Configuration,
     Data,
     End,
+    Failed,
     Ping,
+    Pong,
     Pull,
     Registry,
     encode_frame,
@@ -27,7 +29,7 @@
 from ragwortferry.mesh.peers import Peers, _Peer
 from ragwortferry.mesh.reader import LEASE_GRACE_S, Reader
 from ragwortferry.mesh.relay import HUBS_PER_ZONE, Relay
-from ragwortferry.mesh.remote import LinkSink
+from ragwortferry.mesh.remote import LinkSink, failure_from_frame
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.config import decode_document
 from ragwortferry.platform.store import (
@@ -38,6 +40,7 @@
 )
 from ragwortferry.tests.mesh_builders import (
     a_config,
+    a_load,
     a_pacer,
     a_registry_entry,
     an_attempt,
@@ -415,6 +418,30 @@
     return peers, peer
 
 
+def test_unexpected_error_in_a_message_closes_only_its_link():
+    peers, peer = _peers_with_one_link()
+    other = FakeLink("10.0.0.3", "a")
+
+    def fail(host, load):
+        raise KeyError(host)
+
+    peers.on_load = fail
+    peers.frame_received(peer.link, Pong(1, 0, 0, True, a_load()))
+    assert peer.link.reasons == ["message Pong cannot be handled"]
+    assert not other.closed
+
+
+@pytest.mark.parametrize(
+    "ran, outcome", [("not-run", "not-run"), ("maybe", "unknown"), ("ran", "ran")]
+)
+def test_failure_of_an_unknown_kind_is_a_failure_of_its_attempt(ran, outcome):
+    frame = Failed("k", "newer-kind", ran, "", 0.0, True, a_load())
+    failure = failure_from_frame(frame)
+    assert str(failure.outcome) == outcome
+    response = ERROR_RESPONSES[failure.kind]
+    assert (response.outcome is Outcome.NOT_RUN) == (ran == "not-run")
+
+
 def _time_of_close(peers, peer, start: float, end: float) -> float:
     """Check the link every 50 ms and return when it was closed, 0 if it was not."""
     now = start
