Start long-lived background tasks of a node again when they fail

The node went on without heartbeats or without news, which no peer could tell.

Change: Kernel.supervise starts such a task again after half a second; a violated invariant still ends the process.

Measured: test_failed_background_task_is_started_again, which the kernel before cannot pass, as it has no such method.

--- a/ragwortferry/kernel.py
+++ b/ragwortferry/kernel.py
@@ -3,7 +3,7 @@
 __all__ = ["Kernel", "Service"]
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol, TypeVar
 
 from ragwortferry.exceptions import InvariantError
@@ -11,6 +11,9 @@
 
 T = TypeVar("T")
 
+# Pause before a background task that has failed is started again.
+RESTART_DELAY_S = 0.5
+
 
 class Service(Protocol):
     """A component that is started and stopped with the process."""
@@ -61,6 +64,30 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    def supervise(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> asyncio.Task:
+        """Run a background task, and start it again if it fails.
+
+        A violated invariant is not one of these failures.
+
+        :param run: coroutine function of the task.
+        """
+        return self.spawn(self._run_supervised(run, name), name)
+
+    async def _run_supervised(self, run, name: str) -> None:
+        while True:
+            try:
+                await run()
+                return
+            except InvariantError:
+                raise
+            except Exception as error:
+                self._log.error(
+                    "background task failed and starts again", error, task=name
+                )
+            await asyncio.sleep(RESTART_DELAY_S)
+
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -91,7 +91,7 @@
         async with kernel_entrypoint(kernel, loop, STOP_TIMEOUT_S):
             tune_gc()
             self._log.event("started", "node started", incarnation=self._incarnation)
-            kernel.spawn(self._monitor(), "watch")
+            kernel.supervise(self._monitor, "watch")
             await wait_any(stopping, kernel.failed)
             await self._shut_down(kernel)
         self._log.event("stopped", "node stopped")
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -226,7 +226,7 @@
         self._listener = await loop.create_server(
             lambda: Link(self, False, self._pacer), sock=sock
         )
-        self._kernel.spawn(self._monitor_links(), "links")
+        self._kernel.supervise(self._monitor_links, "links")
         self._seed_deadline = loop.time() + SEED_WAIT_S
         if self._seeds:
             self._kernel.spawn(self._contact_seeds(), "seeds")
--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log
@@ -95,11 +96,12 @@
 
     async def start(self) -> None:
         """Start to read and watch."""
-        self._kernel.spawn(
-            self._read_and_watch("configuration", self._read_configuration), "config"
+        self._kernel.supervise(
+            partial(self._read_and_watch, "configuration", self._read_configuration),
+            "config",
         )
-        self._kernel.spawn(
-            self._read_and_watch("registry", self._read_registry), "registry"
+        self._kernel.supervise(
+            partial(self._read_and_watch, "registry", self._read_registry), "registry"
         )
 
     async def stop(self) -> None:
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+import ragwortferry.kernel as kernel_module
 import ragwortferry.mesh.peers as peers_module
 import ragwortferry.mesh.relay as relay_module
 from ragwortferry.exceptions import ERROR_RESPONSES, ErrorKind, Outcome
@@ -442,6 +443,25 @@
     assert (response.outcome is Outcome.NOT_RUN) == (ran == "not-run")
 
 
+def test_failed_background_task_is_started_again(monkeypatch):
+    monkeypatch.setattr(kernel_module, "RESTART_DELAY_S", 0.0)
+
+    async def main():
+        runs, done = [], asyncio.Event()
+
+        async def run():
+            runs.append(1)
+            if len(runs) < 3:
+                raise KeyError("once more")
+            done.set()
+
+        Kernel(null_log()).supervise(run, "task")
+        async with asyncio.timeout(5):
+            await done.wait()
+
+    asyncio.run(main())
+
+
 def _time_of_close(peers, peer, start: float, end: float) -> float:
     """Check the link every 50 ms and return when it was closed, 0 if it was not."""
     now = start
