Move the response of an upstream into a module of its own

AttemptState, the response and the two constructors of failures move to mesh/response.py unchanged; the owner queues, runs and refuses.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -32,6 +32,13 @@
 STORE_CLIENT = "ragwortferry/platform/tests/test_store.py"
 TRANSFERS = "ragwortferry/mesh/tests/test_transfers.py"
 MESH_OWNER = "ragwortferry/mesh/tests/test_owner.py"
+DECISIONS = "ragwortferry/mesh/tests/test_decisions.py"
+LIMITS = "ragwortferry/mesh/tests/test_limits.py"
+PLACEMENT = "ragwortferry/mesh/tests/test_placement.py"
+ADVERTISED = "ragwortferry/mesh/tests/test_advertised.py"
+LINKS = "ragwortferry/mesh/tests/test_links.py"
+NODES = "ragwortferry/mesh/tests/test_nodes.py"
+CLIENT = "ragwortferry/http1/tests/test_client.py"
 TEST_TIMEOUT_S = 180
 
 
@@ -335,6 +342,100 @@
         f"{MESH_OWNER}::test_request_whose_caller_left_before_it_was_sent_does_not_"
         "reach_the_upstream",
     ),
+    Mechanism(
+        "limit that the upstream advertises",
+        "ragwortferry/mesh/admission.py",
+        "if self._rate_limit and not self._rate_limit.try_take(now):",
+        "if False:",
+        f"{LIMITS}::test_upstream_gets_no_more_requests_than_its_limit_allows",
+    ),
+    Mechanism(
+        "limit told to a restarted node",
+        "ragwortferry/mesh/peers.py",
+        "self.advertised_at(link.host) if link.dialed else []",
+        "[]",
+        f"{LIMITS}::test_limit_outlives_a_disturbance_of_the_node_beside_its_upstream",
+    ),
+    Mechanism(
+        "order of responses about a limit",
+        "ragwortferry/mesh/advertised.py",
+        "elif ran and not advertised.invalid and sent_at > self.named_at:",
+        "elif ran and not advertised.invalid:",
+        f"{ADVERTISED}::test_response_that_overtook_the_limit_does_not_end_it",
+    ),
+    Mechanism(
+        "share of a limit",
+        "ragwortferry/mesh/balance.py",
+        "return now >= self.stats(upstream, now).next_share_at",
+        "return True",
+        f"{PLACEMENT}::test_requests_go_elsewhere_while_other_upstreams_have_room",
+    ),
+    Mechanism(
+        "requests that find out whether a limit has ended",
+        "ragwortferry/mesh/balance.py",
+        "min(MAX_SHARE_INTERVAL_S, advertised.sharers / rate)",
+        "advertised.sharers / rate",
+        f"{PLACEMENT}::test_requests_keep_finding_out_whether_a_low_limit_has_ended",
+    ),
+    Mechanism(
+        "share of lower priorities in the starts",
+        "ragwortferry/mesh/admission.py",
+        "            return lower_share < LOWER_PRIORITY_SHARE\n",
+        "            pass\n",
+        f"{DECISIONS}::test_limited_upstream_prefers_higher_priority_and_starves_none",
+    ),
+    Mechanism(
+        "marks of leaving upstreams",
+        "ragwortferry/mesh/state.py",
+        "if not item.draining and item.id not in self._leaving:",
+        "if not item.draining:",
+        f"{ADVERTISED}::test_leaving_upstream_is_not_available_however_often_it_is_"
+        "registered",
+    ),
+    Mechanism(
+        "refusal by the owner of a leaving upstream",
+        "ragwortferry/mesh/owner.py",
+        "if self._state.is_leaving(attempt.upstream):",
+        "if False:",
+        f"{MESH_OWNER}::test_upstream_that_says_it_is_leaving_gets_nothing_more",
+    ),
+    Mechanism(
+        "memory of a replaced upstream",
+        "ragwortferry/mesh/owner.py",
+        "if now < self._misdirected_until.get(attempt.upstream, now):",
+        "if False:",
+        f"{MESH_OWNER}::test_upstream_whose_address_another_one_has_gets_no_further_"
+        "requests",
+    ),
+    Mechanism(
+        "bound of heads",
+        "ragwortferry/http1/client.py",
+        "if self._head_bytes > MAX_HEAD_BYTES:",
+        "if False:",
+        f"{CLIENT}::test_bytes_without_end_that_are_no_response_break_the_connection",
+    ),
+    Mechanism(
+        "window of a response",
+        "ragwortferry/mesh/window.py",
+        "return self._open_bytes >= MAX_OPEN_BYTES",
+        "return False",
+        f"{NODES}::test_bytes_without_end_from_an_upstream_fail_one_attempt_in_"
+        "bounded_memory",
+    ),
+    Mechanism(
+        "isolation of messages that cannot be handled",
+        "ragwortferry/mesh/peers.py",
+        "        except Exception as error:\n            kind =",
+        "        except InterruptedError as error:\n            kind =",
+        f"{LINKS}::test_unexpected_error_in_a_message_closes_only_its_link",
+    ),
+    Mechanism(
+        "restart of failed background tasks",
+        "ragwortferry/kernel.py",
+        "            await asyncio.sleep(RESTART_DELAY_S)\n",
+        "            return\n",
+        f"{LINKS}::test_failed_background_task_is_started_again",
+    ),
 ]
 
 
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -19,9 +19,10 @@
 from ragwortferry.mesh.budget import RetryBudget
 from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.model import Document, Limits, Route, Upstream
-from ragwortferry.mesh.owner import AttemptState, Owner
+from ragwortferry.mesh.owner import Owner
 from ragwortferry.mesh.peers import Peers
 from ragwortferry.mesh.recording import Recorder
+from ragwortferry.mesh.response import AttemptState
 from ragwortferry.mesh.splits import TrafficSplitter
 from ragwortferry.mesh.state import MeshState
 from ragwortferry.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -4,9 +4,8 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
-from ragwortferry.exceptions import ErrorKind, Outcome
+from ragwortferry.exceptions import ErrorKind
 from ragwortferry.http1.client import (
     ClientConnection,
     ConnectionBrokenError,
@@ -21,15 +20,19 @@
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.recording import Recorder
+from ragwortferry.mesh.response import (
+    MISDIRECTED,
+    AttemptState,
+    UpstreamResponse,
+    not_run,
+    unknown,
+)
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.advertised import decode_advertised
 from ragwortferry.platform.names import (
     CALLER_SERVICE_HEADER,
     DEADLINE_HEADER,
     INSTANCE_ID_HEADER,
-    NOT_RUN_HEADER,
-    REQUEST_ID_HEADER,
-    SIGNATURE_HEADER,
     TARGET_HEADER,
 )
 from ragwortferry.utils.egress import EgressPacer
@@ -54,37 +57,6 @@
 # Time for which attempts at an upstream are refused after another one has answered at
 # its address. The registry lists the former for some seconds.
 MISDIRECTED_S = 1.0
-MISDIRECTED, SERVER_ERROR, GATEWAY_TIMEOUT = 421, 500, 504
-# Statuses with which the upstream may state that a request did not run.
-NOT_RUN_STATUSES = (400, 421, 429, 503)
-
-
-@dataclass(slots=True, eq=False)
-class AttemptState:
-    """An attempt at its owner, queued or running.
-
-    :param sink: receives the reply.
-    :param submitted_at: loop time at which the attempt arrived.
-    :param cancelled: whether the sender has withdrawn the attempt.
-    :param sent: whether the upstream may have received the request.
-    :param sent_at: loop time at which it was sent.
-    :param born_ms: start time of the upstream's process according to the registry when
-        it was sent, 0 if unknown.
-    :param measured: whether its service time is a valid sample.
-    :param timed_out: whether it reached its deadline.
-    """
-
-    attempt: Attempt
-    sink: ReplySink
-    job: Job
-    submitted_at: float
-    task: asyncio.Task | None = None
-    cancelled: bool = False
-    sent: bool = False
-    sent_at: float = 0.0
-    born_ms: int = 0
-    measured: bool = False
-    timed_out: bool = False
 
 
 class Owner:
@@ -275,17 +247,17 @@
     def _rejection(self, attempt: Attempt, now: float) -> Failure | None:
         """Return why the attempt cannot be queued, ``None`` if it can."""
         if self._target is None:
-            return _not_run(ErrorKind.NOT_OWNER, "no upstream on this instance")
+            return not_run(ErrorKind.NOT_OWNER, "no upstream on this instance")
         known = self._state.upstreams.get(attempt.upstream)
         if known is not None and known.draining:
-            return _not_run(ErrorKind.LEAVING, "upstream is draining")
+            return not_run(ErrorKind.LEAVING, "upstream is draining")
         if self._state.is_leaving(attempt.upstream):
-            return _not_run(ErrorKind.LEAVING, "upstream says that it is leaving")
+            return not_run(ErrorKind.LEAVING, "upstream says that it is leaving")
         if now < self._misdirected_until.get(attempt.upstream, now):
-            return _not_run(ErrorKind.NOT_OWNER, "another upstream has the address")
+            return not_run(ErrorKind.NOT_OWNER, "another upstream has the address")
         if now < self._unreachable_until:
             detail = "upstream unreachable: connection failed"
-            return _not_run(ErrorKind.CONNECT_FAILED, detail, CONNECT_RETRY_AFTER_S)
+            return not_run(ErrorKind.CONNECT_FAILED, detail, CONNECT_RETRY_AFTER_S)
         return None
 
     def _set_slots(self, attempt: Attempt) -> None:
@@ -303,7 +275,7 @@
                 f", limit {self.limit_per_s:g}/s named by {self._advertised.upstream}"
                 f" {age_s:.1f} s ago"
             )
-        return _not_run(refusal.kind, detail, refusal.retry_after_s)
+        return not_run(refusal.kind, detail, refusal.retry_after_s)
 
     def _refuse(self, attempt_state: AttemptState, failure: Failure) -> None:
         self.refused += 1
@@ -379,7 +351,7 @@
         self._start_next()
 
     async def _run(self, attempt_state: AttemptState) -> None:
-        response = _UpstreamResponse(attempt_state, self._record_advertised)
+        response = UpstreamResponse(attempt_state, self._record_advertised)
         try:
             await self._forward(attempt_state, response)
             measured = response.ended and response.ran and not response.failed
@@ -436,7 +408,7 @@
                 self._admission.limit_rate(None, now)
 
     async def _forward(
-        self, attempt_state: AttemptState, response: "_UpstreamResponse"
+        self, attempt_state: AttemptState, response: UpstreamResponse
     ) -> None:
         """Send an attempt to the upstream and forward the response."""
         attempt = attempt_state.attempt
@@ -447,7 +419,7 @@
             self._unreachable_until = (
                 asyncio.get_running_loop().time() + CONNECT_BACKOFF_S
             )
-            failure = _not_run(
+            failure = not_run(
                 ErrorKind.CONNECT_FAILED, str(error), CONNECT_RETRY_AFTER_S
             )
             self._refuse(attempt_state, failure)
@@ -470,12 +442,12 @@
         self,
         connection: ClientConnection,
         attempt_state: AttemptState,
-        response: "_UpstreamResponse",
+        response: UpstreamResponse,
     ) -> Failure | None:
         loop, attempt = asyncio.get_running_loop(), attempt_state.attempt
         remaining_s = attempt.deadline - loop.time()
         if remaining_s <= 0:
-            return _not_run(
+            return not_run(
                 ErrorKind.EXPIRED, "deadline passed before the request was sent"
             )
         data = encode_request(
@@ -492,107 +464,12 @@
         except TimeoutError:
             response.timed_out = True
             detail = "no complete response from the upstream by the deadline"
-            return _unknown(ErrorKind.UPSTREAM_SILENT, detail)
+            return unknown(ErrorKind.UPSTREAM_SILENT, detail)
         except ConnectionBrokenError as error:
-            return _unknown(ErrorKind.UPSTREAM_LOST, str(error))
+            return unknown(ErrorKind.UPSTREAM_LOST, str(error))
         return response.failure
 
 
-class _UpstreamResponse:
-    """Validates one response of the upstream and forwards it to the attempt's sink.
-
-    :param on_head: called with the head and whether the request ran.
-    """
-
-    def __init__(
-        self,
-        attempt_state: AttemptState,
-        on_head: Callable[[AttemptState, ResponseHead, bool], None],
-    ):
-        self._attempt_state = attempt_state
-        self._on_head = on_head
-        self._forwarding = False
-        self._paused = False
-        self.connection: ClientConnection | None = None
-        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.ended = False
-        self.ran = False
-        self.status = 0
-        self.size = 0
-        # Whether the request timed out, here or at the upstream.
-        self.timed_out = False
-        self.failed = False
-        self.failure: Failure | None = None
-
-    def accepts(self, head: ResponseHead) -> bool:
-        """Return whether the response belongs to this request.
-
-        A late response to an earlier request on the connection carries that one's id. A
-        refusal may have none.
-        """
-        response_id = get_header(head.headers, REQUEST_ID_HEADER)
-        if not response_id:
-            return head.status in NOT_RUN_STATUSES
-        return response_id == self._attempt_state.attempt.request_id
-
-    def on_head(self, head: ResponseHead) -> None:
-        """Classify the response by its status and headers."""
-        not_run = get_header(head.headers, NOT_RUN_HEADER)
-        refused = head.status == MISDIRECTED or (
-            bool(not_run) and head.status in NOT_RUN_STATUSES
-        )
-        self._on_head(self._attempt_state, head, not refused)
-        if refused:
-            kind = ErrorKind.SHED if head.status != MISDIRECTED else ErrorKind.NOT_OWNER
-            instance_id = get_header(head.headers, INSTANCE_ID_HEADER)
-            detail = (
-                f"upstream refused the request: {head.status} {instance_id}".rstrip()
-            )
-            self.failure = Failure(kind, Outcome.NOT_RUN, detail, 0.0, sent=True)
-            self.failed = True
-            return
-        self.ran = True
-        self.status = head.status
-        self.timed_out = head.status == GATEWAY_TIMEOUT
-        self.failed = head.status >= SERVER_ERROR
-        if head.status < 300 and not get_header(head.headers, SIGNATURE_HEADER):
-            detail = "response of the upstream has no signature"
-            self.failure = _unknown(ErrorKind.UPSTREAM_LOST, detail)
-            return
-        self._forwarding = True
-        headers = end_to_end(head.headers)
-        self._attempt_state.sink.on_reply_head(head.status, headers, head.length)
-
-    def on_data(self, data: bytes) -> None:
-        """Forward a part of the body."""
-        self.size += len(data)
-        if self._forwarding:
-            sink = self._attempt_state.sink
-            sink.on_reply_data(data)
-            if sink.window.full and not self._paused:
-                self._paused = True
-                sink.window.on_open = self._resume
-                self.connection.pause_reading()
-
-    def _resume(self) -> None:
-        """Read on from the upstream."""
-        if self._paused:
-            self._paused = False
-            self.connection.resume_reading()
-
-    def on_end(self) -> None:
-        """Mark the response as complete."""
-        self.ended = True
-        self._resume()
-        if not self.done.done():
-            self.done.set_result(None)
-
-    def on_error(self, error: ConnectionBrokenError) -> None:
-        """Report that the response is missing or truncated."""
-        if not self.done.done():
-            self.done.set_exception(error)
-
-
 def _headers(attempt: Attempt, remaining_s: float) -> list[tuple[str, str]]:
     replaced = (
         DEADLINE_HEADER.lower(),
@@ -605,11 +482,3 @@
         (TARGET_HEADER, attempt.upstream),
         (CALLER_SERVICE_HEADER, attempt.caller),
     ]
-
-
-def _not_run(kind: ErrorKind, detail: str, retry_after_s: float = 0.0) -> Failure:
-    return Failure(kind, Outcome.NOT_RUN, detail, retry_after_s)
-
-
-def _unknown(kind: ErrorKind, detail: str) -> Failure:
-    return Failure(kind, Outcome.UNKNOWN, detail, 0.0, sent=True)
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -29,7 +29,7 @@
     Taken,
 )
 from ragwortferry.mesh.link import Link
-from ragwortferry.mesh.owner import AttemptState, Owner
+from ragwortferry.mesh.owner import Owner
 from ragwortferry.mesh.relay import Relay
 from ragwortferry.mesh.remote import (
     LinkSink,
@@ -37,6 +37,7 @@
     failure_from_frame,
     submit_frame,
 )
+from ragwortferry.mesh.response import AttemptState
 from ragwortferry.mesh.state import MeshState
 from ragwortferry.utils.egress import MIN_UNPACED_MBPS, EgressPacer
 from ragwortferry.utils.pacing import Backoff
--- a/ragwortferry/mesh/tests/test_owner.py
+++ b/ragwortferry/mesh/tests/test_owner.py
@@ -224,3 +224,19 @@
 
     # A second copy, which has no id, could be taken for the next response.
     _run_with_upstream(_responding(refusal * 2), scenario)
+
+
+def test_upstream_that_says_it_is_leaving_gets_nothing_more():
+    data = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+
+    async def scenario(owner):
+        news = []
+        owner.on_news = lambda: news.append(owner.load().advertised)
+        await _result(owner, 0)
+        assert [item.leaving for item in news] == [True]
+        for number in range(1, 4):
+            reply = await _result(owner, number)
+            assert reply.failure.kind is ErrorKind.LEAVING
+        assert _received() == 1 and len(news) == 1
+
+    _run_with_upstream(_responding(data + b"Content-Length: 0\r\n\r\n"), scenario)
