Let requests that may run once return to an upstream that has recovered

Callers saw: after an upstream had been slow for some seconds, requests of a route that is not idempotent were refused there for good. Found while testing bytes without end, whose time-outs raise the service time in the same way.

Cause: service times are kept by route, a route whose requests time out gets no more, and only idempotent requests are probes. Probes of another route showed that the upstream was fast again, but not for this route.

Change: a request that may run once is a probe too, at the same interval, once a request of another route has ended in time since the last sample of its own. Where only such requests come, nothing changes: nothing shows that the upstream is fast again.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -143,6 +143,9 @@
         self._service_times = _ServiceTimes()
         self._start_shares: dict[int, float] = {}
         self._probed_at = -PROBE_INTERVAL_S
+        # Time of the last sample of each route, and of the last one in time.
+        self._sampled_at: dict[str, float] = {}
+        self._good_at = float("-inf")
         self._rate_limit: RateLimit | None = None
         self.slots = slots
 
@@ -262,6 +265,8 @@
         if self._rate_limit and not sent:
             self._rate_limit.put_back(now)
         if measured or timed_out:
+            self._sampled_at[job.route] = now
+            self._good_at = now if measured else self._good_at
             elapsed_s = now - job.started_at
             self._service_times.update(
                 job.route, TIMEOUT_FACTOR * elapsed_s if timed_out else elapsed_s
@@ -298,8 +303,15 @@
         self._on_refused(job, Refusal(ErrorKind.EXPIRED, self._retry_after(delay)))
 
     def _try_probe(self, job: Job, now: float) -> bool:
-        """Return whether a job may be the next probe, and record it as one if so."""
-        if not job.idempotent or now - self._probed_at < PROBE_INTERVAL_S:
+        """Return whether a job may be the next probe, and record it as one if so.
+
+        A job that is not idempotent may be one only after a job of another route has
+        shown that the upstream is fast again.
+        """
+        shown_fast = self._good_at > self._sampled_at.get(job.route, self._good_at)
+        if not (job.idempotent or shown_fast):
+            return False
+        if now - self._probed_at < PROBE_INTERVAL_S:
             return False
         self._probed_at = now
         return True
--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -229,6 +229,29 @@
     assert admission.admit(_job(40.0), 40.0) is not None
 
 
+@pytest.mark.parametrize("deadline", [0.8, 2.0])
+def test_unsafe_requests_return_to_an_upstream_that_has_recovered(deadline):
+    admission, running, served = AdmissionQueue(16, lambda job, refusal: None), [], []
+    for step in range(2000):
+        now = step * 0.02
+        service_s = 4.0 if now < 15.0 else 0.1
+        for job in running.copy():
+            timed_out = now >= job.deadline_at
+            if timed_out or now - job.started_at >= service_s:
+                running.remove(job)
+                admission.finish(job, now, not timed_out, timed_out=timed_out)
+        admission.expire(now)
+        for route, idempotent in (("pay", False), ("read", True)):
+            job = _job(now, deadline=deadline, route=route)
+            job.idempotent = idempotent
+            admission.admit(job, now)
+        while (job := admission.start_next(now)) is not None:
+            running.append(job)
+            if job.route == "pay":
+                served.append(now)
+    assert sum(at >= 25.0 for at in served) >= 100
+
+
 def test_queueing_delays_differ_by_priority():
     admission = AdmissionQueue(1, lambda job, refusal: None)
     for number in range(6):
