Give lower priorities their quarter of a limit

Cause: a lower priority's expected delay under a limit counted all tokens as those of the higher one, so its requests were refused on arrival, and the quarter of the starts that the selection grants found nobody in the queue.

Change: while the lower priorities have had less than their quarter, the expected delay of one is that of its turn.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -365,15 +365,16 @@
         higher_share = sum(
             share for priority, share in shares if priority < job.priority
         )
-        slots_left = max(1, self.slots) * (
-            1 - min(1 - LOWER_PRIORITY_SHARE, higher_share)
-        )
-        delay = excess * self._service_times.mean_s / slots_left
+        rate_share = 1 - min(1 - LOWER_PRIORITY_SHARE, higher_share)
+        delay = excess * self._service_times.mean_s / (max(1, self.slots) * rate_share)
         if any(item.priority < job.priority for item in self._queue):
             delay = min(delay, self._queueing_delay_in_share(job, key, now))
         if self._rate_limit:
-            rate_share = 1 - min(1 - LOWER_PRIORITY_SHARE, higher_share)
-            delay = max(delay, self._rate_limit.delay(ahead, now) / rate_share)
+            limit_delay = self._rate_limit.delay(ahead, now) / rate_share
+            if higher_share and self._below_share(job.priority - 1):
+                same = [item for item in self._queue if item.priority == job.priority]
+                limit_delay = min(limit_delay, self._rate_limit.delay(len(same), now))
+            delay = max(delay, limit_delay)
         return delay
 
     def _queueing_delay_in_share(self, job: Job, key: tuple, now: float) -> float:
