Refuse attempts that a leaving owner cannot finish

Cause: the entry of a leaving node refuses requests that would outlast it; its owner only reported that it accepts none.

Change: an owner that drains refuses, as not run, attempts whose deadline is later than its end. Others go on as before.

Measured: test_leaving_owner_accepts_no_request_that_it_cannot_finish; before there was no such bound, and the owner accepted every attempt until its exit.

--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -208,8 +208,9 @@
         self._log.event("leaving", "node is shutting down", in_flight=entry.in_flight)
         quiet_since = started_at
         max_duration_s = self._settings.bounds.grace_s - GRACE_MARGIN_S
-        entry.drain(started_at + max_duration_s - QUIET_PERIOD_S)
-        owner.draining = True
+        ends_at = started_at + max_duration_s - QUIET_PERIOD_S
+        entry.drain(ends_at)
+        owner.drain(ends_at)
         kernel.get("peers").broadcast_load()
         pacer = kernel.get("outflow")
         while (elapsed := loop.time() - started_at) < max_duration_s:
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -98,7 +98,8 @@
         # Start time of the upstream listed last at this instance, by its id.
         self._born_ms: dict[str, int] = {}
         state.on_registry.append(self._on_registry)
-        self.draining = False
+        # Loop time after which no response can be sent, once the node shuts down.
+        self._ends_at = float("inf")
         self.refused = 0
         # The refusals among them because of the upstream's limit.
         self.refused_for_limit = 0
@@ -130,7 +131,7 @@
         now = asyncio.get_running_loop().time()
         accepting = (
             self._target is not None
-            and not self.draining
+            and self._ends_at == float("inf")
             and now >= self._unreachable_until
         )
         delays = admission.queueing_delays(now)
@@ -177,6 +178,14 @@
         if self._pool:
             self._pool.clear()
 
+    def drain(self, ends_at: float) -> None:
+        """Report that no requests are accepted, and refuse those that end too late.
+
+        :param ends_at: loop time after which no response can be sent; an attempt with a
+            later deadline is refused.
+        """
+        self._ends_at = ends_at
+
     def submit(self, attempt: Attempt, sink: ReplySink) -> AttemptState | None:
         """Queue an attempt and return its state, ``None`` if it is refused.
 
@@ -248,6 +257,8 @@
         """Return why the attempt cannot be queued, ``None`` if it can."""
         if self._target is None:
             return not_run(ErrorKind.NOT_OWNER, "no upstream on this instance")
+        if attempt.deadline > self._ends_at:
+            return not_run(ErrorKind.LEAVING, "node is shutting down")
         known = self._state.upstreams.get(attempt.upstream)
         if known is not None and known.draining:
             return not_run(ErrorKind.LEAVING, "upstream is draining")
--- a/ragwortferry/mesh/tests/test_owner.py
+++ b/ragwortferry/mesh/tests/test_owner.py
@@ -258,3 +258,20 @@
         assert owner.load().advertised.leaving
 
     _run_with_upstream(_responding(b""), scenario)
+
+
+def test_leaving_owner_accepts_no_request_that_it_cannot_finish(run_with_owner):
+    async def scenario(owner):
+        now = asyncio.get_running_loop().time()
+        owner.drain(now + 1.0)
+        assert not owner.load().accepting
+        for number, deadline_s in enumerate((5.0, 0.8)):
+            attempt, reply = _attempt(number, True), Reply()
+            attempt.deadline = now + deadline_s
+            attempt.objective = now + deadline_s / 2
+            accepted = owner.submit(attempt, reply)
+            assert (accepted is not None) == (deadline_s < 1.0)
+            assert accepted or reply.failure.kind is ErrorKind.LEAVING
+            assert accepted or reply.failure.outcome is Outcome.NOT_RUN
+
+    run_with_owner(scenario)
