--- a/ragwortferry/mesh/tests/test_nodes.py
+++ b/ragwortferry/mesh/tests/test_nodes.py
@@ -302,6 +302,33 @@
     run_scenario(scenario, config=_unsafe_config())
 
 
+def test_work_at_a_frozen_node_is_not_started_again_elsewhere(run_scenario):
+    async def scenario(mesh):
+        for machine in mesh.machines:
+            machine.upstream.service_time_s = 0.3
+        # The upstreams of "tablero", as seen from the instance of "archivo".
+        entry, owners = mesh.machines[2], [mesh.machines[n] for n in (0, 1, 3)]
+        requests = [
+            asyncio.create_task(
+                mesh.send(entry, "/panels/1", f"r{n}", method="POST", data=b"x")
+            )
+            for n in range(6)
+        ]
+        await mesh.wait_until(lambda: sum(m.upstream.running for m in owners) == 6)
+        frozen = max(owners, key=lambda machine: machine.upstream.running)
+        held = frozen.upstream.running
+        frozen.process.send_signal(signal.SIGSTOP)
+        statuses = [status for status, _, _ in await asyncio.gather(*requests)]
+        frozen.process.send_signal(signal.SIGCONT)
+        await mesh.wait_ready(frozen)
+        assert statuses.count(200) == 6 - held
+        assert sum(status in (502, 504) for status in statuses) == held > 0
+        assert all(mesh.count_runs(f"r{n}") == 1 for n in range(6))
+        assert (await mesh.send(entry, "/panels/1", "last"))[0] == 200
+
+    run_scenario(scenario, config=_unsafe_config())
+
+
 def test_refused_request_has_not_run(run_scenario):
     async def scenario(mesh):
         for machine in mesh.machines:
