--- a/ragwortferry/mesh/balance.py
+++ b/ragwortferry/mesh/balance.py
@@ -211,7 +211,9 @@
             return best
 
         pool = available or candidates
-        within_share = [item for item in pool if self._within_share(item, now)]
+        within_share = pool
+        if self._limited:
+            within_share = [item for item in pool if self._within_share(item, now)]
         best = cheapest(within_share)
         if len(within_share) < len(pool) and (best is None or not has_room(best)):
             best = cheapest(pool)
