Use the window of a response only between nodes that both know it

Seen by reading: during a release a node of an earlier build closes a link on the unknown message Taken, and as an entry it never sends one, so a body of over 2 MiB from a new owner would stop.

Change: the hello says whether a node reports what its callers have taken. Without it the window is unbounded and no report is sent, as before.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -416,7 +416,7 @@
     Mechanism(
         "window of a response",
         "ragwortferry/mesh/window.py",
-        "return self._open_bytes >= MAX_OPEN_BYTES",
+        "return self._open_bytes >= self._max_open_bytes",
         "return False",
         f"{NODES}::test_bytes_without_end_from_an_upstream_fail_one_attempt_in_"
         "bounded_memory",
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -92,6 +92,7 @@
     :param link_mbps: bandwidth of the sender's instance, in Mbit/s.
     :param advertised: what the sender knows of the upstreams beside the receiver. The
         receiver may have been restarted since they stated it.
+    :param reports_taken: whether the sender understands and sends :class:`Taken`.
     """
 
     host: str
@@ -102,6 +103,7 @@
     revision: int
     link_mbps: float
     advertised: list[Advertisement] = field(default_factory=list)
+    reports_taken: bool = False
 
 
 class Ping(Struct, tag=2, array_like=True):
--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/link.py
@@ -64,6 +64,8 @@
         # -1 until the peer's hello.
         self.peer_revision = -1
         self.peer_store_available = True
+        # Whether the peer understands and sends reports of what callers have taken.
+        self.peer_reports_taken = False
         self.last_received_at = self._loop.time()
         self.closed = False
         self._hello_received = asyncio.Event()
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -328,7 +328,9 @@
     def report_taken(self, attempt: Attempt, size: int) -> None:
         """Tell the owner that the caller has taken a part of a long response."""
         peer = self._peers.get(attempt.host)
-        if peer is not None and peer.link is not None and attempt.key in peer.pending:
+        if peer is None or peer.link is None or attempt.key not in peer.pending:
+            return
+        if peer.link.peer_reports_taken:
             peer.link.send(Taken(attempt.key, size))
 
     def broadcast_load(self) -> None:
@@ -476,6 +478,7 @@
                 state.revision,
                 self._pacer.mbps,
                 self.advertised_at(link.host) if link.dialed else [],
+                True,
             )
         )
 
@@ -540,6 +543,7 @@
             case Hello():
                 link.host, link.zone = frame.host, frame.zone
                 link.subscribed, link.peer_mbps = frame.relays, frame.link_mbps
+                link.peer_reports_taken = frame.reports_taken
                 link.mark_hello_received()
                 if frame.advertised:
                     self._owner.adopt_advertised(frame.advertised, frame.host)
--- a/ragwortferry/mesh/remote.py
+++ b/ragwortferry/mesh/remote.py
@@ -29,7 +29,8 @@
         self._size = 0
         # Set for a long response that is paced by the bandwidth of the network link.
         self._stream: Stream | None = None
-        self.window = Window()
+        # A node of an earlier build does not report what its callers have taken.
+        self.window = Window() if link.peer_reports_taken else Window(float("inf"))
 
     def discard(self) -> None:
         """Discard what has not been sent, because the attempt was cancelled."""
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -25,15 +25,17 @@
     Pong,
     Pull,
     Registry,
+    Taken,
     decode_frame,
     encode_frame,
 )
 from ragwortferry.mesh.link import LENGTH_PREFIX_BYTES, Link
-from ragwortferry.mesh.peers import Peers, _Peer
+from ragwortferry.mesh.peers import Peers, PendingAttempt, _Peer
 from ragwortferry.mesh.reader import LEASE_GRACE_S, Reader
 from ragwortferry.mesh.relay import HUBS_PER_ZONE, Relay
 from ragwortferry.mesh.remote import LinkSink, failure_from_frame
 from ragwortferry.mesh.state import MeshState, RegistryChange
+from ragwortferry.mesh.window import MAX_OPEN_BYTES
 from ragwortferry.platform.config import decode_document
 from ragwortferry.platform.store import (
     HistoryLostError,
@@ -111,6 +113,7 @@
         self.host, self.zone = host, zone
         self.dialed, self.subscribed = dialed, subscribed
         self.peer_version = self.peer_revision = 0
+        self.peer_reports_taken = True
         self.closed = False
         self.sent = []
 
@@ -446,6 +449,21 @@
     assert restarted._owner.adopted == [([stated], "10.0.0.1")]
 
 
+@pytest.mark.parametrize("reports_taken", [False, True])
+def test_window_is_used_only_with_nodes_that_report_what_was_taken(reports_taken):
+    peers, peer = _peers_with_one_link()
+    peer.link.peer_reports_taken = reports_taken
+    sink = LinkSink(peer.link, "k", lambda key: None)
+    peer.link.open_stream = lambda size: None
+    sink.on_reply_data(b"x" * MAX_OPEN_BYTES)
+    assert sink.window.full == reports_taken
+    peer.link.sent.clear()
+    attempt = an_attempt(key="k")
+    peer.pending["k"] = PendingAttempt(attempt, Reply())
+    peers.report_taken(attempt, 10)
+    assert peer.link.sent == ([Taken("k", 10)] if reports_taken else [])
+
+
 def test_unexpected_error_in_a_message_closes_only_its_link():
     peers, peer = _peers_with_one_link()
     other = FakeLink("10.0.0.3", "a")
--- a/ragwortferry/mesh/window.py
+++ b/ragwortferry/mesh/window.py
@@ -12,6 +12,8 @@
 class Window:
     """Counts the bytes of a response that its caller has not taken yet.
 
+    :param max_open_bytes: number of these bytes from which the upstream has to wait.
+
     >>> window = Window()
     >>> window.add(MAX_OPEN_BYTES)
     >>> window.full
@@ -21,7 +23,8 @@
     False
     """
 
-    def __init__(self):
+    def __init__(self, max_open_bytes: float = MAX_OPEN_BYTES):
+        self._max_open_bytes = max_open_bytes
         self._open_bytes = 0
         # Called when the window is no longer full.
         self.on_open: Callable[[], None] = lambda: None
@@ -29,7 +32,7 @@
     @property
     def full(self) -> bool:
         """Return whether the upstream has to wait."""
-        return self._open_bytes >= MAX_OPEN_BYTES
+        return self._open_bytes >= self._max_open_bytes
 
     def add(self, size: int) -> None:
         """Count bytes that the upstream has sent."""
