Report a departure that a restarted owner was told

Seen by reading: an owner that heard of its upstream's departure only from a peer's hello refused requests for it, but its reports did not say why, so each entry without that knowledge came back once a second.

Change: the hello also names the upstream that reports speak of. Limits that are taken over or forgotten are logged like those that are heard.

Measured: test_owner_reports_a_departure_that_other_nodes_tell_it failed before (no statement in the report) and passes.

--- a/ragwortferry/mesh/advertised.py
+++ b/ragwortferry/mesh/advertised.py
@@ -63,7 +63,8 @@
         """Drop the limit if an upstream that has started again had named it."""
         if upstream != self.upstream or self.limit_per_s is None:
             return False
-        self.limit_per_s = None
+        before, self.limit_per_s = self.limit_per_s, None
+        self._log_change(before, self._logged_at)
         return True
 
     def adopt(self, advertised: Advertisement, now: float) -> bool:
@@ -72,11 +73,15 @@
         Only a node that has no response of its own yet needs it, and of several
         statements the latest.
         """
+        if self._heard:
+            return False
+        self.upstream = self.upstream or advertised.upstream
         named_at = now - advertised.age_ms / 1000
-        if self._heard or advertised.limit_per_s is None or named_at < self.named_at:
+        if advertised.limit_per_s is None or named_at < self.named_at:
             return False
-        self.upstream, self.limit_per_s = advertised.upstream, advertised.limit_per_s
-        self.named_at = named_at
+        before, self.limit_per_s = self.limit_per_s, advertised.limit_per_s
+        self.upstream, self.named_at = advertised.upstream, named_at
+        self._log_change(before, now)
         return True
 
     def _log_change(self, before: float | None, now: float) -> None:
