Let any request find out about a limit of 0 when no other does

Seen by reading: behind a limit of 0 a service whose routes are all not idempotent would never have learned that the limit had ended.

Measured: the test of a limit of 0 has two more steps, the second of which the code before refuses.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -28,6 +28,9 @@
 # Seconds between probes: requests sent to an upstream that has become too slow for
 # their deadlines, to see whether it still is.
 PROBE_INTERVAL_S = 0.25
+# Seconds without a request after which any request may find out whether an upstream
+# that accepted none still does.
+MAX_UNPROBED_S = 10.0
 # Bounds of the Retry-After time of a refusal, in seconds.
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.05, 2.0
 # Fraction of its slack (the time left until the objective, less the service time) that
@@ -188,7 +191,7 @@
         if (
             self._misses_deadline(job, now)
             or delay > self._max_wait(job, now)
-            or not self._may_be_probe(job)
+            or not self._passes_zero_limit(job, now)
         ):
             return Refusal(ErrorKind.OVERLOADED, self._retry_after(delay))
         if job.late_on_arrival:
@@ -237,10 +240,15 @@
         lower_running = sum(item.priority > highest for item in self._running)
         return lower_running + 1 <= LOWER_PRIORITY_SHARE * self.slots
 
-    def _may_be_probe(self, job: Job) -> bool:
-        """Return whether a job may reach an upstream that accepts no requests."""
+    def _passes_zero_limit(self, job: Job, now: float) -> bool:
+        """Return whether a job may find out if an upstream still accepts none.
+
+        That is for idempotent jobs, unless none of them has come for a while.
+        """
         limit = self._rate_limit
-        return limit is None or limit.accepts_any or job.idempotent
+        if limit is None or limit.accepts_any or job.idempotent:
+            return True
+        return limit.unused_time(now) > MAX_UNPROBED_S
 
     def _start(self, job: Job, now: float) -> None:
         job.running, job.started_at = True, now
--- a/ragwortferry/mesh/ratelimit.py
+++ b/ragwortferry/mesh/ratelimit.py
@@ -26,7 +26,7 @@
     def __init__(self, rate_per_s: float, now: float):
         self._rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
         self._tokens = 0.0
-        self._updated_at = now
+        self._updated_at = self._taken_at = now
         self.accepts_any = rate_per_s > 0
 
     @property
@@ -46,8 +46,13 @@
         if self._tokens < 1:
             return False
         self._tokens -= 1
+        self._taken_at = now
         return True
 
+    def unused_time(self, now: float) -> float:
+        """Return the time since the last request, or since the start, in seconds."""
+        return now - self._taken_at
+
     def put_back(self, now: float) -> None:
         """Undo :meth:`try_take` for a request that was not sent."""
         self._refill(now)
--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -409,7 +409,7 @@
     assert admission.start_next(0.91) is not None
 
 
-def test_only_idempotent_requests_reach_an_upstream_that_accepts_none():
+def test_idempotent_requests_find_out_whether_an_upstream_still_accepts_none():
     admission = AdmissionQueue(4, lambda job, refusal: None)
     admission.limit_rate(0.0, 0.0)
     job = _job(2.0)
@@ -417,6 +417,8 @@
     job.idempotent = True
     assert admission.admit(job, 2.0) is None
     assert admission.start_next(2.0) is job
+    assert admission.admit(_job(8.0), 8.0) is not None
+    assert admission.admit(_job(12.1), 12.1) is None
 
 
 def test_request_that_was_not_sent_does_not_count_against_the_limit():
