--- a/benchmarks/statements.py
+++ b/benchmarks/statements.py
@@ -81,8 +81,9 @@
 ) -> None:
     """Check the arrivals at upstreams during all episodes.
 
-    :param disturbances: as for an entry in touch with its callers, see
-        :class:`Episode`; a restart or a pause of the entry excuses it.
+    :param disturbances: times at which each entry was stopped, killed, paused or
+        started, in ascending order. A disturbed entry is excused until it passes the
+        statement on again.
     """
     calls_by_id = {call.request_id: call for call in calls}
     for episode in episodes:
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -87,7 +87,8 @@
         self._sizes = RouteAverages(SMOOTHING)
         self._advertised = AdvertisedState(log)
         self._unreachable_until = 0.0
-        # Id of the upstream last found to be replaced at its address, and the time.
+        # Id of the upstream last found to be replaced at its address, and the end of
+        # the time for which attempts at it are refused.
         self._misdirected_until: dict[str, float] = {}
         self._failure_ratio = 0.0
         self._expiry_timer: asyncio.TimerHandle | None = None
@@ -101,7 +102,7 @@
         # Loop time after which no response can be sent, once the node shuts down.
         self._ends_at = float("inf")
         self.refused = 0
-        # The refusals among them because of the upstream's limit.
+        # The refusals among them while the upstream names a limit.
         self.refused_for_limit = 0
         self.ran = 0
 
