--- a/ragwortferry/mesh/metrics.py
+++ b/ragwortferry/mesh/metrics.py
@@ -2,21 +2,31 @@
 
 __all__ = ["NodeMetrics"]
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
-from opentelemetry.metrics import Histogram, Observation
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from opentelemetry.sdk.resources import Resource
 
+from ragwortferry.utils.histogram import Histogram
+
 # Upper bounds of the latency buckets; latency objectives lie between 80 and 1,500 ms.
 BUCKETS_MS = (2, 5, 10, 25, 50, 80, 120, 200, 300, 400, 600, 800, 1200, 2000, 4000)
 PREFIX = "ragwortferry_"
 
+# Names and values of the labels of one time series.
+Labels = tuple[tuple[str, str], ...]
+
 
 class NodeMetrics:
     """Records and exports the metrics of one node.
 
+    What is recorded for each request or message is aggregated in plain counters, which
+    the metrics library observes when the metrics are read. It has no observable
+    histogram, so :meth:`text` renders the histograms itself.
+
     :param instance: name of the instance.
     :param zone: availability zone.
     """
@@ -26,18 +36,29 @@
         resource = Resource({"instance": instance, "zone": zone})
         provider = MeterProvider([self._reader], resource, shutdown_on_exit=False)
         self._meter = provider.get_meter("ragwortferry")
-        self._requests = self._meter.create_counter(f"{PREFIX}requests")
-        self._latency = self._meter.create_histogram(
-            f"{PREFIX}request_ms", explicit_bucket_boundaries_advisory=BUCKETS_MS
+        # Number of requests by status and kind of error.
+        self._requests: Counter[tuple[int, str]] = Counter()
+        self._meter.create_observable_counter(
+            f"{PREFIX}requests", [self._observe_requests]
         )
+        # The time series of each histogram by their labels.
+        self._histograms: dict[str, dict[Labels, Histogram]] = {}
+        self._latencies = self._histograms.setdefault("request_ms", {})
         self._round_trips = self._histogram("ping_ms")
         self._loop_lags = self._histogram("loop_lag_ms")
-        self._store_reads = self._histogram("store_read_ms")
 
-    def _histogram(self, name: str) -> Histogram:
-        return self._meter.create_histogram(
-            PREFIX + name, explicit_bucket_boundaries_advisory=BUCKETS_MS
-        )
+    def _observe_requests(self, _options) -> Iterable[Observation]:
+        return [
+            Observation(count, {"status": status, "error": error})
+            for (status, error), count in self._requests.items()
+        ]
+
+    def _histogram(self, name: str, labels: Labels = ()) -> Histogram:
+        """Return the time series of a histogram with these labels."""
+        series = self._histograms.setdefault(name, {})
+        if labels not in series:
+            series[labels] = Histogram(BUCKETS_MS)
+        return series[labels]
 
     def record_request(
         self, route: str, status: int, error: str, seconds: float
@@ -46,8 +67,12 @@
 
         :param error: kind of the error, empty if there was none.
         """
-        self._requests.add(1, {"status": status, "error": error})
-        self._latency.record(seconds * 1000, {"route": route})
+        self._requests[status, error] += 1
+        labels = (("route", route),)
+        latencies = self._latencies.get(labels)
+        if latencies is None:
+            latencies = self._histogram("request_ms", labels)
+        latencies.record(seconds * 1000)
 
     def record_round_trip(self, seconds: float) -> None:
         """Record the time between a ping and its pong."""
@@ -63,7 +88,8 @@
         :param reads: part of the store.
         :param result: ``"ok"`` or ``"failed"``.
         """
-        self._store_reads.record(seconds * 1000, {"reads": reads, "result": result})
+        labels = (("reads", reads), ("result", result))
+        self._histogram("store_read_ms", labels).record(seconds * 1000)
 
     def add_counters(
         self, name: str, label: str, read: Callable[[], dict[str, int]]
@@ -95,26 +121,25 @@
             for scope in resource.scope_metrics:
                 for metric in scope.metrics:
                     for point in metric.data.data_points:
-                        lines += _lines(metric.name, point)
+                        labels = _labels(point.attributes.items())
+                        lines.append(f"{metric.name}{labels} {point.value}")
+        for name, series in self._histograms.items():
+            for labels, histogram in series.items():
+                lines += _histogram_lines(PREFIX + name, labels, histogram)
         return "\n".join(lines) + "\n"
 
 
-def _lines(name: str, point) -> list[str]:
-    labels = {key: str(value) for key, value in point.attributes.items()}
-    if not hasattr(point, "bucket_counts"):
-        return [f"{name}{_labels(labels)} {point.value}"]
-    lines, total = [], 0
-    bounds = [*point.explicit_bounds, "+Inf"]
-    for bound, count in zip(bounds, point.bucket_counts, strict=True):
-        total += count
-        lines.append(f"{name}_bucket{_labels({**labels, 'le': str(bound)})} {total}")
-    lines.append(f"{name}_sum{_labels(labels)} {point.sum}")
-    lines.append(f"{name}_count{_labels(labels)} {point.count}")
+def _histogram_lines(name: str, labels: Labels, histogram: Histogram) -> list[str]:
+    lines, count = [], 0
+    bounds = [*histogram.bounds, "+Inf"]
+    for bound, in_bucket in zip(bounds, histogram.counts, strict=True):
+        count += in_bucket
+        lines.append(f"{name}_bucket{_labels((*labels, ('le', bound)))} {count}")
+    lines.append(f"{name}_sum{_labels(labels)} {histogram.total}")
+    lines.append(f"{name}_count{_labels(labels)} {count}")
     return lines
 
 
-def _labels(labels: dict[str, str]) -> str:
-    if not labels:
-        return ""
-    inner = ",".join(f'{key}="{value}"' for key, value in labels.items())
-    return "{" + inner + "}"
+def _labels(labels: Iterable[tuple[str, object]]) -> str:
+    inner = ",".join(f'{key}="{value}"' for key, value in labels)
+    return "{" + inner + "}" if inner else ""
--- a/ragwortferry/mesh/tests/test_recording.py
+++ b/ragwortferry/mesh/tests/test_recording.py
@@ -68,3 +68,14 @@
     assert 'ragwortferry_ping_ms_bucket{le="300"} 1\n' in text
     assert 'ragwortferry_loop_lag_ms_bucket{le="5"} 1\n' in text
     assert 'reads="configuration",result="failed"' in text
+
+
+def test_histogram_without_labels_has_sum_and_count():
+    metrics = NodeMetrics("node-1", "a")
+    for seconds in (0.002, 0.003):
+        metrics.record_round_trip(seconds)
+    text = metrics.text()
+    # A value equal to a bound belongs to the bucket below it.
+    assert 'ragwortferry_ping_ms_bucket{le="2"} 1\n' in text
+    assert "ragwortferry_ping_ms_sum 5.0\n" in text
+    assert "ragwortferry_ping_ms_count 2\n" in text
