Bound the links of a node and look only at those that are due

Cause: a node sent requests to all upstreams of a service and kept the links that it had dialed for as long as their hosts were listed, so links grew with the fleet (80 nodes: 80 links each, 195: 194), and with them pings, load reports and checks each 50 ms. Each change of the registry rebuilt the tree and woke a task for each peer. Gauges links_by_reason and links_accepted.

--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -13,6 +13,7 @@
 from ragwortferry.http1.messages import Request, end_to_end, get_header
 from ragwortferry.http1.server import Exchange, Server
 from ragwortferry.mesh.admission import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
+from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.balance import Balancer
@@ -106,6 +107,7 @@
 class Entry:
     """Serves the callers on this instance.
 
+    :param aperture: selects the upstreams that the balancer compares.
     :param address: address at which callers connect.
     :param service: service of this instance, sent to upstreams as the caller's.
     :param key_prefix: prefix of the attempt keys, unique to this process.
@@ -115,6 +117,7 @@
     def __init__(
         self,
         state: MeshState,
+        aperture: Aperture,
         balancer: Balancer,
         owner: Owner,
         peers: Peers,
@@ -128,6 +131,7 @@
         node_count,
     ):
         self._state = state
+        self._aperture = aperture
         self._balancer = balancer
         self._owner = owner
         self._peers = peers
@@ -189,9 +193,8 @@
 
     def _record_load(self, host: str, load: Load) -> None:
         now = asyncio.get_running_loop().time()
-        for item in self._state.upstreams.values():
-            if item.address.host == host:
-                self._balancer.record_report(item, load, now)
+        for item in self._state.upstreams_at(host):
+            self._balancer.record_report(item, load, now)
         self._record_leaving(host, load)
 
     def _record_leaving(self, host: str, load: Load) -> None:
@@ -204,9 +207,7 @@
         """Return what this node knows of the upstreams at a host."""
         state, now = self._state, asyncio.get_running_loop().time()
         found = []
-        for item in state.upstreams.values():
-            if item.address.host != host:
-                continue
+        for item in state.upstreams_at(host):
             advertised = self._balancer.last_advertisement(item, now)
             leaving = state.is_leaving(item.id)
             if advertised is None and leaving:
@@ -310,24 +311,32 @@
         if context.deadline <= now:
             return None
         known = self._state.available_upstreams(context.service)
-        reachable = [
-            item
-            for item in known
-            if item.id not in context.tried
-            and self._peers.reachable(item.address.host, now)
-        ]
-        upstream = self._balancer.pick(
-            reachable or known,
-            context.tried,
-            context.route.objective_s,
-            now,
-            self._sizes.get(context.route.name, 0.0),
-            context.route.priority,
-            context.objective - now,
-            context.deadline - now,
-        )
+
+        def usable(item: Upstream) -> bool:
+            return item.id not in context.tried and self._peers.reachable(
+                item.address.host, now
+            )
+
+        def choose(upstreams: list[Upstream]) -> Upstream | None:
+            return self._balancer.pick(
+                upstreams,
+                context.tried,
+                context.route.objective_s,
+                now,
+                self._sizes.get(context.route.name, 0.0),
+                context.route.priority,
+                context.objective - now,
+                context.deadline - now,
+            )
+
+        selected = self._aperture.select(context.service, known, usable)
+        upstream = choose(selected or known)
+        if upstream is None and len(selected) < len(known):
+            # The limits of all selected upstreams are reached.
+            selected = [item for item in known if usable(item)]
+            upstream = choose(selected or known)
         if upstream is None and not context.tried:
-            context.failure = self._limit_failure(context, reachable or known, now)
+            context.failure = self._limit_failure(context, selected or known, now)
         return upstream
 
     def _limit_failure(
--- a/ragwortferry/mesh/metrics.py
+++ b/ragwortferry/mesh/metrics.py
@@ -100,10 +100,13 @@
         :param read: returns the values by the value of the label.
         """
 
-        def values(_options) -> Iterable[Observation]:
-            return [Observation(value, {label: key}) for key, value in read().items()]
+        self._meter.create_observable_counter(PREFIX + name, [_observer(label, read)])
 
-        self._meter.create_observable_counter(PREFIX + name, [values])
+    def add_gauges(
+        self, name: str, label: str, read: Callable[[], dict[str, float]]
+    ) -> None:
+        """Add gauges that are read at each scrape; parameters as for the counters."""
+        self._meter.create_observable_gauge(PREFIX + name, [_observer(label, read)])
 
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read at each scrape."""
@@ -129,6 +132,15 @@
         return "\n".join(lines) + "\n"
 
 
+def _observer(label: str, read: Callable[[], dict[str, float]]):
+    """Return a callback that observes the values that are read, by their label."""
+
+    def values(_options) -> Iterable[Observation]:
+        return [Observation(value, {label: key}) for key, value in read().items()]
+
+    return values
+
+
 def _histogram_lines(name: str, labels: Labels, histogram: Histogram) -> list[str]:
     lines, count = [], 0
     bounds = [*histogram.bounds, "+Inf"]
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -12,6 +12,7 @@
 from ragwortferry.http1.server import Exchange, Server
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log, LogContext
+from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.balance import Balancer
 from ragwortferry.mesh.entry import Entry
 from ragwortferry.mesh.metrics import NodeMetrics
@@ -120,6 +121,7 @@
                 log.component("owner"),
             ),
         )
+        aperture = kernel.add("aperture", Aperture(settings.host, settings.zone))
         peers = kernel.add(
             "peers",
             Peers(
@@ -131,6 +133,7 @@
                 settings.peer_port,
                 settings.seeds,
                 settings.zone,
+                aperture,
                 pacer,
                 self._incarnation,
                 log.component("link"),
@@ -142,6 +145,7 @@
             "entry",
             Entry(
                 state,
+                aperture,
                 Balancer(settings.zone, settings.host, settings.link_mbps, self._rng),
                 owner,
                 peers,
@@ -168,6 +172,8 @@
         kernel.add("pages", Server(self._serve_metrics, settings.host, METRICS_PORT))
         _register_gauges(metrics, state, owner, peers, entry, store)
         metrics.add_counters("link_bytes", "message", lambda: pacer.bytes_by_kind)
+        metrics.add_gauges("links_by_reason", "reason", lambda: peers.count_by_reason)
+        metrics.add_gauge("links_accepted", lambda: peers.accepted_count)
         metrics.add_gauge("egress_delay_ms", lambda: pacer.queueing_delay_s * 1000)
         owner.count_sharers = lambda: peers.accepted_count + 1
         owner.on_news = peers.broadcast_load
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -5,12 +5,14 @@
 import asyncio
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log
+from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
 from ragwortferry.mesh.frames import (
     Advertisement,
@@ -28,6 +30,7 @@
     Subscribe,
     Taken,
 )
+from ragwortferry.mesh.heartbeat import IDLE_TIMEOUT_S, Heartbeat
 from ragwortferry.mesh.link import Link
 from ragwortferry.mesh.owner import Owner
 from ragwortferry.mesh.relay import Relay
@@ -38,17 +41,13 @@
     submit_frame,
 )
 from ragwortferry.mesh.response import AttemptState
-from ragwortferry.mesh.state import MeshState
+from ragwortferry.mesh.state import MeshState, RegistryChange
+from ragwortferry.utils.deadlines import NEVER, Deadlines
 from ragwortferry.utils.egress import MIN_UNPACED_MBPS, EgressPacer
 from ragwortferry.utils.pacing import Backoff
 from ragwortferry.utils.sockets import Address, connected_socket, listen
 
 LISTEN_BACKLOG = 512
-# Interval between pings while nothing is received on a dialed link without pending
-# attempts. The peer, which accepted the link, sends no pings on it.
-IDLE_PING_INTERVAL_S = 1.0
-# The same with pending attempts.
-BUSY_PING_INTERVAL_S = 0.1
 # A link with pending attempts is closed if nothing is received for this long after a
 # ping. Less than the timeout of any route, so that an idempotent request can still be
 # retried on another instance.
@@ -56,14 +55,10 @@
 # The same if either instance has a slow network link: a single response of half a
 # megabyte takes 1.4 s at 3 Mbit/s, and pongs queue behind it.
 SLOW_NETWORK_TIMEOUT_S = 2.0
-# Fraction of these two timeouts after which other instances are preferred. A pong takes
-# a few milliseconds, or 0.1 s if the peer's process is scheduled late.
-SUSPECT_FRACTION = 0.4
-# A dialed link without pending attempts is closed if nothing is received for this long
-# after a ping, an accepted link if nothing is received for this long at all.
-IDLE_TIMEOUT_S = 3.0
-# Interval between checks of all links.
-CHECK_INTERVAL_S = 0.05
+# An accepted link is closed if nothing is received for this long at all.
+ACCEPTED_TIMEOUT_S = 3.0
+# Shortest and longest interval between checks of the links that are due.
+CHECK_INTERVAL_S, MAX_CHECK_INTERVAL_S = 0.05, 0.25
 # Timeout for establishing a TCP connection.
 DIAL_TIMEOUT_S = 1.0
 # Timeout for the peer's hello; as long as a slow network link may be silent.
@@ -75,7 +70,6 @@
 # If a check runs more than this after it was due, this process itself was blocked: the
 # peers' silence until then does not count, and the timeouts of all links start again.
 MAX_CHECK_DELAY_S = 0.2
-NEVER = float("inf")
 # Time for which bandwidths of peers are collected before the tree is rebuilt.
 TREE_UPDATE_DELAY_S = 0.1
 # Time after the start during which the state is expected from a seed before the store
@@ -84,9 +78,11 @@
 # Interval after which the next seed is dialed.
 SEED_INTERVAL_S = 0.5
 # If the registry has at most this many other nodes, all are dialed before a request
-# needs them. Otherwise at most this many nodes of the own zone are, and the neighbours
-# in the relay tree; any other node is dialed for the first attempt sent to it.
+# needs them. Otherwise at most this many of the apertures of its services are, and the
+# neighbours in the relay tree; others are dialed for the first attempt sent to them.
 MAX_EAGER_DIALS = 40
+# A link that was dialed for an attempt is closed after this long without another one.
+MAX_UNUSED_S = 30.0
 
 
 @dataclass(slots=True, eq=False)
@@ -104,9 +100,7 @@
         self.address = address
         self.link: Link | None = None
         self.pending: dict[str, PendingAttempt] = {}
-        self.pinged_at = 0.0
-        # Time of the oldest ping since which nothing was received.
-        self.unanswered_since = NEVER
+        self.heartbeat = Heartbeat()
         # Token and time of the ping whose round trip is being measured.
         self.probe_token, self.probe_at = 0, 0.0
         self.task: asyncio.Task | None = None
@@ -114,8 +108,11 @@
         # When the link was lost, or first could not be established.
         self.unreachable_since = NEVER
         self.dialed_once = False
+        # Whether the link is dialed ahead of requests; else it is closed when unused.
+        self.eager = False
+        self.used_at = 0.0
         self.wanted = True
-        # Set when the link is lost, or the peer may no longer be wanted.
+        # Set when the link is lost, or the peer is no longer wanted.
         self.changed = asyncio.Event()
         # Set when the peer dials this node, which shows that it can be reached again.
         self.redial_now = asyncio.Event()
@@ -131,6 +128,16 @@
             self.changed.clear()
             await self.changed.wait()
 
+    def release(self) -> None:
+        """Let the link end as soon as no attempt is pending on it."""
+        if self.wanted:
+            self.wanted = False
+            self.changed.set()
+
+    def is_unused(self, now: float) -> bool:
+        """Return whether no attempt has needed the link for a while."""
+        return not (self.eager or self.pending or now - self.used_at < MAX_UNUSED_S)
+
     def mark_unreachable(self, now: float) -> None:
         """Record that the peer cannot be reached."""
         self.dialed_once = True
@@ -148,6 +155,7 @@
     :param address: where this node accepts links.
     :param peer_port: port where all other nodes accept links.
     :param seeds: IP addresses of nodes to request the state from at the start.
+    :param aperture: selects the nodes to dial before a request needs them.
     :param pacer: paces long responses on the network link of this instance.
     :param incarnation: unique id of this run of the process.
     """
@@ -162,6 +170,7 @@
         peer_port: int,
         seeds: tuple[str, ...],
         zone: str,
+        aperture: Aperture,
         pacer: EgressPacer,
         incarnation: str,
         log: Log,
@@ -186,6 +195,13 @@
         # Links that peers have dialed, with their attempts at the own upstream by key.
         self._accepted: dict[Link, dict[str, tuple[AttemptState, LinkSink]]] = {}
         self._listener: asyncio.Server | None = None
+        self._aperture = aperture
+        # Availability zone of each other node in the registry, by IP address.
+        self._hosts: dict[str, str] = {}
+        # When each link has to be looked at next.
+        self._checks: Deadlines[_Peer | Link] = Deadlines()
+        self._next_check_at = 0.0
+        self._check_now = asyncio.Event()
         self._last_token = 0
         # Called with the host and the load report of each pong.
         self.on_load: Callable[[str, Load], None] = lambda host, load: None
@@ -202,7 +218,7 @@
         self._update_scheduled = False
         # Called before the relay's callback, so that the relay pushes the change to the
         # neighbours in the new tree.
-        state.on_registry.insert(0, lambda change: self._update_peers())
+        state.on_registry.insert(0, self._on_registry)
 
     @property
     def links(self) -> list[Link]:
@@ -215,6 +231,16 @@
         """Return the number of peers with an open link that this node has dialed."""
         return sum(peer.link is not None for peer in self._peers.values())
 
+    @property
+    def count_by_reason(self) -> dict[str, int]:
+        """Return the number of dialed links by the reason why they are kept."""
+        counts = Counter({"relay": 0, "eager": 0, "demand": 0})
+        for host, peer in self._peers.items():
+            if peer.link is not None:
+                relayed = host in self._relay.neighbours
+                counts["relay" if relayed else "eager" if peer.eager else "demand"] += 1
+        return dict(counts)
+
     @property
     def accepted_count(self) -> int:
         """Return the number of open links that other nodes have dialed."""
@@ -271,37 +297,38 @@
             return True
         if peer.link is None:
             return not peer.unreachable
-        return not self._is_suspect(peer, peer.link, now)
+        link = peer.link
+        return not peer.heartbeat.is_suspect(
+            link.last_received_at, now, self._busy_timeout(link)
+        )
 
     def _is_connectable(self, host: str) -> bool:
         """Return whether there is no sign that a node cannot be reached."""
         peer = self._peers.get(host)
         return peer is None or not peer.unreachable
 
-    def _is_suspect(self, peer: _Peer, link: Link, now: float) -> bool:
-        """Return whether a pong is overdue, long before the link is closed.
-
-        If the network is partitioned, a request sent over the link gets no response
-        and its outcome is unknown. So other instances are preferred.
-        """
-        if link.last_received_at >= peer.unanswered_since:
-            return False
-        return now - peer.unanswered_since > SUSPECT_FRACTION * self._busy_timeout(link)
-
     async def send(self, attempt: Attempt, reply: Reply) -> None:
         """Send an attempt to the owner of its upstream.
 
         It fails as not run if there is no link and none is established in time.
         """
         peer = self._peer(attempt.host)
+        peer.used_at = asyncio.get_running_loop().time()
+        peer.wanted |= attempt.host in self._hosts
         await self._wait_until_connected(peer, attempt.deadline)
         if peer.link is None:
             detail = f"no link to node {peer.address.host}"
             failure = Failure(ErrorKind.CONNECT_FAILED, Outcome.NOT_RUN, detail)
             reply.on_reply_failed(failure, None)
             return
+        now = asyncio.get_running_loop().time()
+        first = not peer.pending
+        peer.heartbeat.record_attempt(attempt.deadline - now, first)
         peer.pending[attempt.key] = PendingAttempt(attempt, reply)
         peer.link.send(submit_frame(attempt))
+        if first:
+            ping_due = peer.heartbeat.ping_due(peer.link.last_received_at, True)
+            self._check_by(peer, ping_due)
 
     async def _wait_until_connected(self, peer: _Peer, deadline: float) -> None:
         """Wait for a link that is being established or was lost a moment ago."""
@@ -350,33 +377,53 @@
             peer = self._peers[host] = _Peer(Address(host, self._peer_port))
         if peer.task is None or peer.task.done():
             peer.wanted = True
+            peer.used_at = asyncio.get_running_loop().time()
             peer.task = self._kernel.spawn(self._maintain(peer), f"dial {host}")
         return peer
 
+    def _on_registry(self, change: RegistryChange) -> None:
+        """Update the peers if the instances with an upstream have changed."""
+        hosts = {}
+        for item in self._state.upstreams.values():
+            hosts[item.address.host] = item.zone
+        hosts.pop(self._address.host, None)
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._update_peers()
+
     def _update_peers(self) -> None:
         """Rebuild the relay tree and dial the nodes that are dialed eagerly.
 
         The links to nodes without an upstream in the registry are no longer maintained.
         """
-        hosts: dict[str, str] = {}
-        for item in self._state.upstreams.values():
-            hosts[item.address.host] = item.zone
-        hosts.pop(self._address.host, None)
+        hosts = self._hosts
         self._relay.set_hosts(hosts)
-        same_zone = [host for host, zone in hosts.items() if zone == self._zone]
-        eager = (
-            set(hosts)
-            if len(hosts) <= MAX_EAGER_DIALS
-            else set(same_zone[:MAX_EAGER_DIALS])
-        )
-        for host in eager | (self._relay.neighbours & set(hosts)):
+        eager = self._eager_hosts()
+        for host in sorted(eager):
             self._peer(host)
         for host, peer in self._peers.items():
-            peer.wanted = host in hosts
-            peer.changed.set()
+            peer.eager = host in eager
+            if host not in hosts:
+                peer.release()
+            else:
+                peer.wanted = True
             if peer.link is not None:
                 self._update_subscription(peer.link)
 
+    def _eager_hosts(self) -> set[str]:
+        """Return the nodes to dial before a request needs them."""
+        neighbours = self._relay.neighbours & set(self._hosts)
+        if len(self._hosts) <= MAX_EAGER_DIALS:
+            return neighbours | set(self._hosts)
+        chosen = []
+        for service in self._state.services:
+            upstreams = self._state.available_upstreams(service)
+            chosen += self._aperture.hosts(service, upstreams)
+        # The sort is stable: nodes of the own zone first, by service.
+        chosen.sort(key=lambda host: self._hosts.get(host) != self._zone)
+        eager = dict.fromkeys(host for host in chosen if host in self._hosts)
+        return neighbours | set(list(eager)[:MAX_EAGER_DIALS])
+
     def _schedule_update(self) -> None:
         """Rebuild the tree soon, once for several bandwidths that were learned."""
         if not self._update_scheduled:
@@ -403,14 +450,14 @@
             link = await self._dial(peer)
             if link is None:
                 peer.mark_unreachable(loop.time())
+                if peer.is_unused(loop.time()):
+                    peer.release()
                 await self._wait_before_redial(peer, backoff.next_delay())
                 continue
-            peer.link, peer.unanswered_since, peer.unreachable_since = (
-                link,
-                NEVER,
-                NEVER,
-            )
+            peer.link, peer.unreachable_since = link, NEVER
+            peer.heartbeat.restart()
             peer.dialed_once, peer.probe_token = True, 0
+            self._check_by(peer, loop.time())
             self._schedule_update()
             self._log.event(
                 "link-made",
@@ -421,7 +468,7 @@
             backoff.reset()
             await peer.wait_until_unused(link)
             if not link.closed:
-                link.close("peer has no upstream in the registry")
+                link.close("peer is no longer needed")
         if not peer.pending and self._peers.get(peer.address.host) is peer:
             del self._peers[peer.address.host]
 
@@ -468,6 +515,8 @@
         link.own_subscription = link.dialed and link.host in self._relay.neighbours
         if not link.dialed:
             self._accepted[link] = {}
+            now = asyncio.get_running_loop().time()
+            self._check_by(link, now + ACCEPTED_TIMEOUT_S)
         link.send(
             Hello(
                 self._address.host,
@@ -487,9 +536,11 @@
         for attempt_state, sink in self._accepted.pop(link, {}).values():
             self._owner.cancel(attempt_state)
             sink.discard()
+        self._checks.discard(link)
         peer = self._peer_by_link(link)
         if peer is None:
             return
+        self._checks.discard(peer)
         peer.link = None
         peer.changed.set()
         self._schedule_update()
@@ -616,45 +667,79 @@
             self._owner.cancel(attempt_state)
             sink.discard()
 
+    def _check_by(self, target: "_Peer | Link", when: float) -> None:
+        """Look at a link at a time, or before it if that is planned."""
+        self._checks.bring_forward(target, when)
+        if when < self._next_check_at - CHECK_INTERVAL_S:
+            self._check_now.set()
+
     async def _monitor_links(self) -> None:
         """Ping silent peers, and close links on which nothing is received."""
         loop = asyncio.get_running_loop()
         while True:
-            due = loop.time() + CHECK_INTERVAL_S
-            await asyncio.sleep(CHECK_INTERVAL_S)
             now = loop.time()
-            self.on_loop_lag(max(0.0, now - due))
-            if now - due > MAX_CHECK_DELAY_S:
+            delay = self._checks.next_at - now
+            delay = min(MAX_CHECK_INTERVAL_S, max(CHECK_INTERVAL_S, delay))
+            self._next_check_at = now + delay
+            await self._wait_for_check(self._next_check_at)
+            now = loop.time()
+            lag = now - self._next_check_at
+            if lag >= 0:
+                self.on_loop_lag(lag)
+            if lag > MAX_CHECK_DELAY_S:
                 self._reset_timeouts(now)
-            for peer in list(self._peers.values()):
-                if peer.link is not None:
-                    self._check_heartbeat(peer, peer.link, now)
-            for link in list(self._accepted):
-                if now - link.last_received_at > IDLE_TIMEOUT_S:
-                    link.close(f"no data received for {IDLE_TIMEOUT_S:g} s")
+            self._check_links(now)
+
+    async def _wait_for_check(self, due: float) -> None:
+        """Wait until a check is due, or an earlier one is planned."""
+        self._check_now.clear()
+        try:
+            async with asyncio.timeout_at(due):
+                await self._check_now.wait()
+        except TimeoutError:
+            return
+
+    def _check_links(self, now: float) -> None:
+        """Look at the links that are due."""
+        for target in self._checks.pop_due(now):
+            if isinstance(target, _Peer):
+                if target.link is not None:
+                    self._check_heartbeat(target, target.link, now)
+            elif target in self._accepted:
+                self._check_accepted(target, now)
+
+    def _check_accepted(self, link: Link, now: float) -> None:
+        """Close an accepted link after the timeout."""
+        due = link.last_received_at + ACCEPTED_TIMEOUT_S
+        if now > due:
+            link.close(f"no data received for {ACCEPTED_TIMEOUT_S:g} s")
+        else:
+            self._checks.set(link, due + CHECK_INTERVAL_S)
 
     def _reset_timeouts(self, now: float) -> None:
         """Start all silence timeouts again, since this process itself was blocked."""
         for peer in self._peers.values():
-            if peer.unanswered_since is not NEVER:
-                peer.unanswered_since = now
+            peer.heartbeat.reset_timeout(now)
         for link in self._accepted:
             link.last_received_at = now
 
     def _check_heartbeat(self, peer: _Peer, link: Link, now: float) -> None:
         """Ping a peer if it is silent, and close its link after the timeout."""
-        if link.last_received_at >= peer.unanswered_since:
-            peer.unanswered_since = NEVER
-        interval = BUSY_PING_INTERVAL_S if peer.pending else IDLE_PING_INTERVAL_S
-        if now - max(link.last_received_at, peer.pinged_at) >= interval:
-            peer.pinged_at = now
-            peer.unanswered_since = min(peer.unanswered_since, now)
+        heartbeat, busy = peer.heartbeat, bool(peer.pending)
+        heartbeat.record_received(link.last_received_at)
+        if now >= heartbeat.ping_due(link.last_received_at, busy):
+            heartbeat.record_ping(now)
             link.send(self._ping())
             if not peer.probe_token:
                 peer.probe_token, peer.probe_at = self._last_token, now
-        timeout_s = self._busy_timeout(link) if peer.pending else IDLE_TIMEOUT_S
-        if now - peer.unanswered_since > timeout_s:
+        timeout_s = self._busy_timeout(link) if busy else IDLE_TIMEOUT_S
+        if heartbeat.timed_out(now, timeout_s):
             link.close(f"ping unanswered for {timeout_s:g} s")
+            return
+        if peer.is_unused(now):
+            peer.release()
+        received_at = link.last_received_at
+        self._checks.set(peer, heartbeat.next_check(received_at, busy, timeout_s))
 
     def _busy_timeout(self, link: Link) -> float:
         """Return the timeout of a ping on a link with pending attempts."""
--- a/ragwortferry/mesh/state.py
+++ b/ragwortferry/mesh/state.py
@@ -59,7 +59,9 @@
         self._pruned_revision = 0
         # Start time of each upstream that has said itself that it is leaving, by id.
         self._leaving: dict[str, int] = {}
+        # Indexes of the registry, ``None`` after a change of it.
         self._by_service: dict[str, list[Upstream]] | None = None
+        self._by_host: dict[str, list[Upstream]] | None = None
         self._history = DocumentHistory()
         self._refused: set[int] = set()
         self.document: Document | None = None
@@ -139,21 +141,39 @@
         elif born_ms is not None and item.born_ms > born_ms:
             del self._leaving[item.id]
 
-    def available_upstreams(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that are not draining or leaving."""
+    @property
+    def services(self) -> list[str]:
+        """Return the services that have available upstreams."""
+        return sorted(self._available)
+
+    @property
+    def _available(self) -> dict[str, list[Upstream]]:
         if self._by_service is None:
             self._by_service = {}
             for item in self._upstreams.values():
                 if not item.draining and item.id not in self._leaving:
                     self._by_service.setdefault(item.service, []).append(item)
-        return self._by_service.get(service, [])
+        return self._by_service
+
+    def available_upstreams(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that are not draining or leaving.
+
+        It is the same list until one of them changes.
+        """
+        return self._available.get(service, [])
+
+    def upstreams_at(self, host: str) -> list[Upstream]:
+        """Return the upstreams that are registered at an IP address."""
+        if self._by_host is None:
+            self._by_host = {}
+            for item in self._upstreams.values():
+                self._by_host.setdefault(item.address.host, []).append(item)
+        return self._by_host.get(host, [])
 
     def upstream_at(self, host: str, port: int) -> Upstream | None:
         """Return the most recently changed upstream that has an address."""
         matches = [
-            item
-            for item in self._upstreams.values()
-            if item.address.host == host and item.address.port == port
+            item for item in self.upstreams_at(host) if item.address.port == port
         ]
         return max(matches, key=lambda item: item.revision, default=None)
 
@@ -252,7 +272,7 @@
             self.revision = change.revision
         applied.revision = self.revision
         if applied.upstreams or applied.removed:
-            self._by_service = None
+            self._by_service = self._by_host = None
             self._notify(applied, origin)
         return complete
 
--- a/ragwortferry/mesh/tests/test_entry.py
+++ b/ragwortferry/mesh/tests/test_entry.py
@@ -5,6 +5,7 @@
 
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.http1.messages import Request
+from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.attempt import Failure
 from ragwortferry.mesh.balance import Balancer
 from ragwortferry.mesh.entry import Entry
@@ -78,6 +79,7 @@
     balancer = Balancer("a", "10.0.0.1", 1000.0, rng)
     return Entry(
         state,
+        Aperture("10.0.0.1", "a"),
         balancer,
         None,
         peers,
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -12,6 +12,7 @@
 import ragwortferry.mesh.relay as relay_module
 from ragwortferry.exceptions import ERROR_RESPONSES, ErrorKind, Outcome
 from ragwortferry.kernel import Kernel
+from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.attempt import Reply
 from ragwortferry.mesh.frames import (
     Advertisement,
@@ -409,6 +410,7 @@
         8145,
         (),
         "a",
+        Aperture("10.0.0.1", "a"),
         a_pacer(mbps),
         "incarnation",
         null_log(),
@@ -647,6 +649,7 @@
             port,
             (),
             "a",
+            Aperture("10.0.0.1", "a"),
             a_pacer(),
             "incarnation",
             null_log(),
--- a/ragwortferry/mesh/tests/test_transfers.py
+++ b/ragwortferry/mesh/tests/test_transfers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ragwortferry.kernel import Kernel
+from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.frames import (
     Bandwidths,
     Cancel,
@@ -192,6 +193,7 @@
             8145,
             (),
             "a",
+            Aperture("10.0.0.1", "a"),
             a_pacer(),
             "incarnation",
             null_log(),
