--- a/benchmarks/node_cost.py
+++ b/benchmarks/node_cost.py
@@ -41,6 +41,8 @@
 RESTARTED_FRACTION = 0.2
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 MAX_LISTED_PARTS = 25
+# Time that the nodes have to write their samples.
+SAMPLES_WRITTEN_S = 0.3
 
 
 class SampledMesh(Mesh):
@@ -216,7 +218,9 @@
         await asyncio.sleep(SETTLE_S)
         result = {"start": {"mean_s": round(statistics.fmean(starts), 3)}}
         for name in PHASES:
+            await _end_sampled_phase(mesh)
             result[name] = await _measure_phase(mesh, name, rate)
+        await _end_sampled_phase(mesh)
         served = result["requests"]
         idle_s = result["idle"]["total_s"]
         served["ms_each"] = round(
@@ -232,9 +236,10 @@
         )
         result["restarts"] = await _measure_restarts(mesh, rate)
         if sampled:
-            for machine in mesh.machines:
-                await mesh.stop_node(machine)
-            result["parts"] = _parts(folder)
+            await _end_sampled_phase(mesh)
+            names = ["start", *PHASES, "restarts"]
+            for number, name in enumerate(names):
+                result[name]["parts"] = _parts(folder, number)
         return result
     finally:
         await mesh.stop()
@@ -247,11 +252,24 @@
     return 0.0
 
 
-def _parts(folder: Path) -> dict[str, float]:
-    """Return the share of all samples by function, the largest first."""
+async def _end_sampled_phase(mesh: SampledMesh) -> None:
+    """Let the sampling nodes begin a new phase."""
+    if mesh.sampled:
+        for machine in mesh.machines:
+            machine.process.send_signal(signal.SIGUSR1)
+        await asyncio.sleep(SAMPLES_WRITTEN_S)
+
+
+def _parts(folder: Path, phase: int) -> dict[str, float]:
+    """Return the share of the samples of a phase by function, the largest first.
+
+    :param phase: number of the phase, in the order of the samples of a node.
+    """
     total: Counter[str] = Counter()
-    for path in folder.glob("*.samples"):
-        total.update(json.loads(path.read_text()))
+    for path in folder.glob("*.0.samples"):
+        lines = path.read_text().splitlines()
+        if phase < len(lines):
+            total.update(json.loads(lines[phase]))
     count = max(1, total.total())
     return {
         name: round(samples / count, 4)
--- a/benchmarks/sampled_node.py
+++ b/benchmarks/sampled_node.py
@@ -1,12 +1,12 @@
 """Runs a node and samples which functions use its processor time.
 
-The samples of the process are written at its end to the file that the environment
-variable ``NODE_SAMPLES`` names: a JSON object from ``"module:function"`` to a count.
+The signal SIGUSR1 ends a phase: the samples since the last one are appended to the file
+that the environment variable ``NODE_SAMPLES`` names, as a line with a JSON object from
+``"module:function"`` to a count.
 """
 
 __all__ = ["main"]
 
-import atexit
 import json
 import os
 import signal
@@ -30,13 +30,20 @@
     samples["event loop and start"] += 1
 
 
+def _end_phase(samples: Counter, path: Path) -> None:
+    """Append the samples to the file and start again."""
+    with path.open("a") as file:
+        file.write(json.dumps(samples) + "\n")
+    samples.clear()
+
+
 def main() -> None:
     """Start to sample, then run the command line of the program."""
     samples: Counter[str] = Counter()
     path = Path(os.environ["NODE_SAMPLES"])
     signal.signal(signal.SIGPROF, lambda _, frame: _record(samples, frame))
     signal.setitimer(signal.ITIMER_PROF, SAMPLE_INTERVAL_S, SAMPLE_INTERVAL_S)
-    atexit.register(lambda: path.write_text(json.dumps(samples)))
+    signal.signal(signal.SIGUSR1, lambda *_: _end_phase(samples, path))
     from ragwortferry.__main__ import main as run_program
 
     sys.argv[0] = "ragwortferry"
--- a/ragwortferry/__main__.py
+++ b/ragwortferry/__main__.py
@@ -2,10 +2,14 @@
 
 __all__ = ["main"]
 
+import gc
 import signal
 import sys
 
 EXIT_INTERRUPTED = 130
+# Net allocations that trigger a garbage collection while the program is loaded, which
+# creates many objects and hardly any garbage.
+GC_THRESHOLD = 10_000
 
 
 def main() -> None:
@@ -15,6 +19,7 @@
     action would terminate the process, and the settings have not been read yet.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    gc.set_threshold(GC_THRESHOLD)
     try:
         from ragwortferry.cli import main as run_command
 
