--- a/ragwortferry/mesh/tests/test_placement.py
+++ b/ragwortferry/mesh/tests/test_placement.py
@@ -75,7 +75,8 @@
 
     def run(self, rate, seconds):
         for entry in self.entries:
-            for number in range(len(self.upstreams)):
+            for upstream in self.candidates(entry):
+                number = self.upstreams.index(upstream)
                 start = self._rng.uniform(0, PONG_INTERVAL_S)
                 self.at(start, self._pong, entry, number)
         self.at(0.0, self._tick)
@@ -86,6 +87,10 @@
             self.now, _, call, args = heapq.heappop(self._events)
             call(*args)
 
+    def candidates(self, entry):
+        """Return the upstreams that an entry chooses from."""
+        return self.upstreams
+
     def _pong(self, entry, number):
         self._report(entry, number, self.load(number))
         self.at(self.now + PONG_INTERVAL_S, self._pong, entry, number)
@@ -103,7 +108,7 @@
         upstream = None
         if len(tried) < MAX_ATTEMPTS:
             upstream = entry.pick(
-                self.upstreams,
+                self.candidates(entry),
                 tried,
                 OBJECTIVE_S,
                 self.now,
