--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -37,6 +37,9 @@
 ADVERTISED = "ragwortferry/mesh/tests/test_advertised.py"
 LINKS = "ragwortferry/mesh/tests/test_links.py"
 NODES = "ragwortferry/mesh/tests/test_nodes.py"
+APERTURE = "ragwortferry/mesh/tests/test_aperture.py"
+HEARTBEAT = "ragwortferry/mesh/tests/test_heartbeat.py"
+DECODERS = "ragwortferry/platform/tests/test_decoders.py"
 CLIENT = "ragwortferry/http1/tests/test_client.py"
 TEST_TIMEOUT_S = 180
 
@@ -435,6 +438,48 @@
         "            return\n",
         f"{LINKS}::test_failed_background_task_is_started_again",
     ),
+    Mechanism(
+        "aperture",
+        "ragwortferry/mesh/aperture.py",
+        "if len(upstreams) <= SIZE:",
+        "if True:",
+        f"{APERTURE}::test_aperture_has_the_same_size_however_many_upstreams_there_are",
+    ),
+    Mechanism(
+        "end of unused links",
+        "ragwortferry/mesh/peers.py",
+        "if peer.is_unused(now):\n            peer.release()\n        received",
+        "received",
+        f"{APERTURE}::test_link_that_no_request_needs_any_more_is_released",
+    ),
+    Mechanism(
+        "tree only for changed instances",
+        "ragwortferry/mesh/peers.py",
+        "if hosts != self._hosts:",
+        "if True:",
+        f"{APERTURE}::test_change_of_the_registry_without_new_instances_rebuilds_no_tree",
+    ),
+    Mechanism(
+        "looks at links that are due",
+        "ragwortferry/utils/deadlines.py",
+        "while self.next_at <= now:",
+        "while self.next_at < float('inf'):",
+        f"{APERTURE}::test_only_links_that_are_due_are_looked_at",
+    ),
+    Mechanism(
+        "ping interval by the time that attempts have",
+        "ragwortferry/mesh/heartbeat.py",
+        "min(MAX_BUSY_PING_INTERVAL_S, BUSY_PING_FRACTION * left_s),",
+        "0.0,",
+        f"{HEARTBEAT}::test_busy_link_is_pinged_by_the_time_that_its_attempt_has",
+    ),
+    Mechanism(
+        "index of prefixes",
+        "ragwortferry/mesh/model.py",
+        "for length in self._lengths:",
+        "for length in range(len(path), -1, -1):",
+        f"{DECODERS}::test_match_looks_up_no_more_prefixes_than_their_lengths",
+    ),
 ]
 
 
