Always use the own upstream, and ping in time for urgent attempts

The order by hash left out the upstream of the own instance on most nodes, whose long responses cross no network link; an urgent attempt on a link that was busy with slow ones was pinged by their interval, up to 0.3 s late. Change: the own upstream is the first of its aperture; each attempt brings the next ping forward.

--- a/ragwortferry/cli.py
+++ b/ragwortferry/cli.py
@@ -195,6 +195,7 @@
     _reject_unknown(sys.argv[1:])
     if sys.argv[1:] == ["node"]:
         node()
+        return
     # Loading the parser takes a sixth of the start of a node, which has no flags.
     import fire
 
--- a/ragwortferry/mesh/aperture.py
+++ b/ragwortferry/mesh/aperture.py
@@ -26,8 +26,9 @@
 class Aperture:
     """The order in which a node uses the upstreams of each service.
 
-    The order is by a hash of both ends: a change of some upstreams changes the places
-    of no others, and the nodes of a zone together use all upstreams evenly.
+    The upstream of the own instance is the first: its responses cross no network link.
+    The others are ordered by a hash of both ends, so that a change of some upstreams
+    changes the places of no others, and the nodes of a zone together use all evenly.
 
     :param host: IP address of this instance.
     :param zone: its availability zone.
@@ -69,15 +70,18 @@
             for item in self.select(service, upstreams, lambda item: True)
         ]
 
+    def _rank(self, item: Upstream) -> tuple[bool, tuple[int, str]]:
+        """Return the place of an upstream: that of this instance is the first."""
+        host = item.address.host
+        return host != self._host, rank_key(self._host, host)
+
     def _order(
         self, service: str, upstreams: list[Upstream]
     ) -> tuple[list[Upstream], list[Upstream]]:
         """Return the upstreams of the own zone and the others, each in order."""
         known = self._orders.get(service)
         if known is None or known[0] is not upstreams:
-            ordered = sorted(
-                upstreams, key=lambda item: rank_key(self._host, item.address.host)
-            )
+            ordered = sorted(upstreams, key=self._rank)
             same_zone = [item for item in ordered if item.zone == self._zone]
             others = [item for item in ordered if item.zone != self._zone]
             known = self._orders[service] = upstreams, same_zone, others
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -322,13 +322,11 @@
             reply.on_reply_failed(failure, None)
             return
         now = asyncio.get_running_loop().time()
-        first = not peer.pending
-        peer.heartbeat.record_attempt(attempt.deadline - now, first)
+        peer.heartbeat.record_attempt(attempt.deadline - now, not peer.pending)
         peer.pending[attempt.key] = PendingAttempt(attempt, reply)
         peer.link.send(submit_frame(attempt))
-        if first:
-            ping_due = peer.heartbeat.ping_due(peer.link.last_received_at, True)
-            self._check_by(peer, ping_due)
+        ping_due = peer.heartbeat.ping_due(peer.link.last_received_at, True)
+        self._check_by(peer, ping_due)
 
     async def _wait_until_connected(self, peer: _Peer, deadline: float) -> None:
         """Wait for a link that is being established or was lost a moment ago."""
--- a/ragwortferry/mesh/tests/test_aperture.py
+++ b/ragwortferry/mesh/tests/test_aperture.py
@@ -7,10 +7,11 @@
 
 import ragwortferry.mesh.peers as peers_module
 from ragwortferry.mesh.aperture import MAX_SAME_ZONE, SIZE, Aperture
+from ragwortferry.mesh.attempt import Reply
 from ragwortferry.mesh.peers import MAX_EAGER_DIALS, MAX_UNUSED_S
 from ragwortferry.mesh.state import RegistryChange
 from ragwortferry.mesh.tests.test_links import FakeLink, _peers_with_one_link
-from ragwortferry.tests.mesh_builders import an_upstream
+from ragwortferry.tests.mesh_builders import an_attempt, an_upstream
 from ragwortferry.utils.sockets import Address
 
 ZONES = "abcde"
@@ -44,6 +45,13 @@
     assert Aperture("10.0.0.1", "a").select("tablero", upstreams, _all) == upstreams
 
 
+def test_own_upstream_is_always_used():
+    upstreams = _fleet(160)
+    for item in upstreams:
+        aperture = Aperture(item.address.host, item.zone)
+        assert item in aperture.select("tablero", upstreams, _all)
+
+
 def test_zone_without_enough_upstreams_uses_more_of_the_others():
     upstreams = [item for item in _fleet(160) if item.zone != "a"]
     chosen = Aperture("10.0.0.1", "a").select("tablero", upstreams, _all)
@@ -146,6 +154,20 @@
     assert not peer.wanted
 
 
+def test_urgent_attempt_on_a_busy_link_brings_the_next_ping_forward():
+    async def scenario():
+        peers, peer = _peers_with_one_link()
+        peer.task = asyncio.get_running_loop().create_future()
+        now = asyncio.get_running_loop().time()
+        peer.link.last_received_at = now
+        for key, left_s in (("slow", 10.0), ("urgent", 0.5)):
+            attempt = an_attempt(key=key, host="10.0.0.2", deadline=now + left_s)
+            await peers.send(attempt, Reply())
+        assert now + 0.1 <= peers._checks.next_at < now + 0.15
+
+    asyncio.run(scenario())
+
+
 def test_only_links_that_are_due_are_looked_at(monkeypatch):
     async def scenario():
         peers, _ = _peers_with_one_link()
