Test what the start of a node loads, and its error without settings

Cause: a later import could load the parser or the metrics library again unnoticed. Result: test_cli.py passes.

--- a/ragwortferry/tests/test_cli.py
+++ b/ragwortferry/tests/test_cli.py
@@ -1,4 +1,5 @@
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -214,3 +215,19 @@
             return
         time.sleep(0.02)
     raise AssertionError(f"no {event_type} event")
+
+
+def test_start_of_a_node_loads_neither_the_parser_nor_the_metrics_library():
+    code = (
+        "import sys, ragwortferry.cli, ragwortferry.mesh.node;"
+        "print({'fire', 'opentelemetry'} & set(sys.modules))"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True
+    )
+    assert result.stdout.strip() == "set()"
+
+
+def test_node_without_settings_fails_with_one_line():
+    environ = {k: v for k, v in os.environ.items() if k != "RAGWORTFERRY_SETTINGS"}
+    assert_one_line_error(run_cli("node", env=environ), "RAGWORTFERRY_SETTINGS")
