Let the revision of the registry advance past changes of the configuration

Cause: the store counts the changes of all parts with one revision, and a reader continues its watch from that of the whole store. Changes read after one of the configuration were then taken as following a gap, so that the registry's revision stood still on all nodes; heartbeats compare it, and a node that missed a change was not told. Ruled out as its only cause: the longer idle interval. Change: a reader has read all up to its watch's start, so its changes follow its own revision.

--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -236,6 +236,9 @@
         for item in decoded:
             self._held_removals.pop(item.id, None)
         revision = max(item.revision for item in items)
+        # The store also counts changes of other parts. This node has read all up to
+        # ``since``, so there is no gap after the last revision of the registry.
+        since = min(since, self._state.revision)
         change = RegistryChange(since, revision, decoded, removed)
         self._state.apply_registry(change, "store")
 
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -9,6 +9,7 @@
 
 import ragwortferry.kernel as kernel_module
 import ragwortferry.mesh.peers as peers_module
+import ragwortferry.mesh.reader as reader_module
 import ragwortferry.mesh.relay as relay_module
 from ragwortferry.exceptions import ERROR_RESPONSES, ErrorKind, Outcome
 from ragwortferry.kernel import Kernel
@@ -345,6 +346,29 @@
     asyncio.run(scenario())
 
 
+def test_revision_of_the_registry_advances_past_changes_of_the_configuration(
+    monkeypatch,
+):
+    monkeypatch.setattr(reader_module, "WATCH_PAUSE_S", 0.0)
+
+    async def scenario():
+        # The store counts changes of the configuration too, between those of the
+        # registry.
+        store = FakeStore(
+            _page(_item("i-1", 3)),
+            _page(_item("i-2", 12), revision=15),
+            _page(revision=18),
+            _page(_item("i-3", 20), revision=20),
+        )
+        state, _, reader = _reader(store)
+        after = 0
+        for expected in (10, 12, 12, 20):
+            after = await reader._read_registry(after)
+            assert state.revision == expected
+
+    asyncio.run(scenario())
+
+
 def test_entries_missing_after_an_outage_are_kept_for_the_grace_period():
     async def scenario():
         known = [_item(f"i-{n}", n) for n in range(1, 4)]
