--- a/ragwortferry/mesh/tests/test_limits.py
+++ b/ragwortferry/mesh/tests/test_limits.py
@@ -3,11 +3,11 @@
 import asyncio
 import signal
 import time
-from collections import Counter
-from dataclasses import dataclass
 
 import pytest
 
+from standins.callers import Callers
+
 # Window of the users' rule, its factor on the limit, and its allowance.
 WINDOW_S, FACTOR, SLACK = 4.0, 1.5, 5
 # Time after the first response with a limit from which the rule holds.
@@ -21,53 +21,6 @@
     return FACTOR * limit * WINDOW_S + SLACK
 
 
-@dataclass
-class Ended:
-    """A request that has ended."""
-
-    request_id: str
-    sent_at: float
-    machine: str
-    status: int
-    seconds: float
-    headers: dict
-
-
-class Callers:
-    """Sends requests at a constant rate, to each machine in turn."""
-
-    def __init__(self, mesh, machines=None):
-        self._mesh = mesh
-        self._machines = machines or mesh.machines
-        self._tasks = []
-        self.ended: list[Ended] = []
-
-    async def _send(self, number: int) -> None:
-        machine = self._machines[number % len(self._machines)]
-        sent_at, request_id = time.monotonic(), f"r{number}"
-        status, _, headers = await self._mesh.send(
-            machine, "/panels/1", request_id, deadline_ms=1000
-        )
-        seconds = time.monotonic() - sent_at
-        self.ended.append(
-            Ended(request_id, sent_at, machine.name, status, seconds, headers)
-        )
-
-    async def run(self, rate: float, seconds: float) -> None:
-        """Send requests for a while; they end in the background."""
-        start, before = time.monotonic(), len(self._tasks)
-        while (elapsed := time.monotonic() - start) < seconds:
-            while len(self._tasks) - before < elapsed * rate:
-                task = asyncio.create_task(self._send(len(self._tasks)))
-                self._tasks.append(task)
-            await asyncio.sleep(0.005)
-
-    async def finish(self) -> Counter:
-        """Wait for all responses and return how often each status came."""
-        await asyncio.gather(*self._tasks)
-        return Counter(item.status for item in self.ended)
-
-
 def test_log_and_metrics_state_the_limit_that_an_upstream_advertises(run_scenario):
     async def scenario(mesh):
         machine = mesh.machines[2]
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -218,6 +218,13 @@
         key = f"servers/{machine.upstream.name}"
         return await self.store.put(key, machine.upstream.registry_entry(state))
 
+    async def restart_upstream(self, machine: Machine) -> None:
+        """Start a crashed upstream again; its former entry has expired."""
+        await self.store.delete(f"servers/{machine.upstream.name}")
+        name = machine.upstream.name.partition("+")[0]
+        await machine.upstream.restart(f"{name}+{len(machine.upstream.crashes)}")
+        await self.register(machine)
+
     async def put_config(self, config: dict) -> int:
         """Write a configuration to the store and return its revision."""
         return await self.store.put("op/config", json.dumps(config).encode())
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -6,6 +6,7 @@
 import json
 import time
 from collections import Counter
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -13,6 +14,9 @@
 # Pause while the node reads no further.
 ENDLESS_PAUSE_S = 0.005
 
+# Whether a request crashes the upstream, by its method, path, body and caller service.
+CrashPredicate = Callable[[str, str, bytes, str], bool]
+
 
 class UpstreamStandin:
     """Runs each request for ``service_time_s`` and adds its name to the response.
@@ -24,6 +28,9 @@
     refusals, and ``leaving`` adds ``Server-Leaving``. Responses have
     ``response_bytes``, or ``long_response_bytes`` if the request id starts with
     ``long``. ``received`` holds the method, path and body of each request by its id.
+    A request for which ``crashes_on`` returns true crashes the upstream after
+    ``crash_delay_s``: all connections are reset and the port is closed until
+    :meth:`restart`.
     """
 
     def __init__(self, name: str, service: str, zone: str, slots: int = 8):
@@ -35,6 +42,10 @@
         self.response_bytes = 64
         self.long_response_bytes = 300_000
         self.fault = ""
+        self.crashes_on: CrashPredicate = lambda method, path, body, caller: False
+        self.crash_delay_s = 0.03
+        # Monotonic time of each crash and the ids of the requests then at work.
+        self.crashes: list[tuple[float, list[str]]] = []
         self.limit = ""
         self.leaving = False
         # Monotonic time of the first response with one of these, 0 before.
@@ -54,14 +65,44 @@
         self.max_running = 0
         self.address = ""
         self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
+        # Ids of the requests at work.
+        self._at_work: list[str] = []
 
     async def start(self, host: str, port: int) -> None:
         """Start the server."""
         server = web.Server(self._handle, access_log=None, handler_cancellation=True)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, port).start()
         self.address = f"{host}:{port}"
+        await self._listen()
+
+    async def _listen(self) -> None:
+        host, _, port = self.address.partition(":")
+        self._site = web.TCPSite(self._runner, host, int(port))
+        await self._site.start()
+
+    @property
+    def crashed(self) -> bool:
+        """Return whether the upstream has crashed and not been started again."""
+        return self._site is None
+
+    async def crash(self) -> None:
+        """Reset all connections and close the port."""
+        if self._site is None:
+            return
+        site, self._site = self._site, None
+        self.crashes.append((time.monotonic(), list(self._at_work)))
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        await site.stop()
+
+    async def restart(self, name: str) -> None:
+        """Start again as a new process after a crash, under a new id."""
+        self.name = name
+        self.born_ms += 1000
+        await self._listen()
 
     async def stop(self) -> None:
         """Stop the server."""
@@ -128,13 +169,20 @@
         self.received[request_id] = (request.method, request.raw_path, body)
         self.running += 1
         self.max_running = max(self.max_running, self.running)
+        self._at_work.append(request_id)
+        caller = self.callers[request_id]
         try:
+            if self.crashes_on(request.method, request.raw_path, body, caller):
+                await asyncio.sleep(self.crash_delay_s)
+                # Another task, since the crash cancels this one.
+                asyncio.get_running_loop().create_task(self.crash())
             await asyncio.sleep(self.service_time_s)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
         finally:
             self.running -= 1
+            self._at_work.remove(request_id)
         headers = {
             "X-Request-Id": request_id,
             "X-Response-Signature": self.name,
