--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -5,10 +5,13 @@
     "Announce",
     "Bandwidths",
     "Cancel",
+    "Clearance",
     "Configuration",
     "ConfigurationChange",
+    "CrashReport",
     "Data",
     "End",
+    "Evidence",
     "Failed",
     "Frame",
     "Head",
@@ -28,6 +31,7 @@
 
 from msgspec import Struct, field, msgpack
 
+from ragwortferry.mesh.fingerprint import RequestKind
 from ragwortferry.mesh.model import Upstream
 
 
@@ -93,6 +97,8 @@
     :param advertised: what the sender knows of the upstreams beside the receiver. The
         receiver may have been restarted since they stated it.
     :param reports_taken: whether the sender understands and sends :class:`Taken`.
+    :param shares_evidence: whether the sender understands and sends
+        :class:`Evidence`.
     """
 
     host: str
@@ -104,6 +110,7 @@
     link_mbps: float
     advertised: list[Advertisement] = field(default_factory=list)
     reports_taken: bool = False
+    shares_evidence: bool = False
 
 
 class Ping(Struct, tag=2, array_like=True):
@@ -143,6 +150,7 @@
     :param repeatable: whether the request is idempotent.
     :param version: version of the configuration that the request is routed by.
     :param caller: service of the instance whose node received the request.
+    :param trial: whether to run it although it is known to crash upstreams.
     """
 
     key: str
@@ -159,6 +167,7 @@
     target: str
     headers: list[tuple[str, str]]
     body: bytes
+    trial: bool = False
 
 
 class Cancel(Struct, tag=5, array_like=True):
@@ -311,6 +320,36 @@
     size: int
 
 
+class CrashReport(Struct, array_like=True, frozen=True):
+    """Crash of an upstream.
+
+    :param id: identifies the crash in the fleet.
+    :param age_ms: time since the crash, in milliseconds.
+    :param suspects: requests that were at work and may be its cause.
+    """
+
+    id: str
+    age_ms: float
+    suspects: list[RequestKind]
+
+
+class Clearance(Struct, array_like=True, frozen=True):
+    """Statement that a request has run to its end since some crashes.
+
+    :param crashes: ids of the crashes that it is not the cause of.
+    """
+
+    kind: RequestKind
+    crashes: list[str]
+
+
+class Evidence(Struct, tag=19, array_like=True):
+    """What is known for and against requests under which upstreams have crashed."""
+
+    crashes: list[CrashReport]
+    clearances: list[Clearance]
+
+
 Frame = (
     Hello
     | Ping
@@ -330,6 +369,7 @@
     | ConfigurationChange
     | Part
     | Taken
+    | Evidence
 )
 
 _DECODER = msgpack.Decoder(Frame)
