Refuse requests under which upstreams have crashed on all nodes

Cause: nothing was kept of a request whose upstream crashed; each entry began anew with it. A class of fault: what one node learns about a request decides nothing elsewhere.

Change: the owner finds a crash (a lost response, no open connection left, a new one refused) and names the requests at work, except those that the same process has run to their end before; evidence spreads over the relay trees and to new neighbours and new nodes; entries refuse the convicted, owners refuse what entries do not know yet, suspects of two crashes do not run side by side, a lost attempt is answered once it is known whether the upstream crashed; one trial after a block, then longer blocks. A crash is told to the other nodes at once (load report).

--- a/ragwortferry/exceptions.py
+++ b/ragwortferry/exceptions.py
@@ -40,6 +40,7 @@
     NO_UPSTREAM = "no-upstream"  # no upstream can be tried
     OVERLOADED = "overloaded"  # the owner's queue is full, or too long for the deadline
     LEAVING = "leaving"  # the instance is draining
+    QUARANTINED = "quarantined"  # upstreams have crashed under this request
     SHED = "shed"  # the target itself refused the request
     CONNECT_FAILED = "connect-failed"  # nothing of the request was sent
     FENCED = "fenced"  # the attempt was cancelled before it began
@@ -83,6 +84,7 @@
     ErrorKind.LEAVING: ErrorResponse(
         503, Outcome.NOT_RUN, retry_after=1, retryable=True
     ),
+    ErrorKind.QUARANTINED: ErrorResponse(503, Outcome.NOT_RUN, retry_after=5),
     ErrorKind.SHED: ErrorResponse(503, Outcome.NOT_RUN, retry_after=1, retryable=True),
     ErrorKind.CONNECT_FAILED: ErrorResponse(
         503, Outcome.NOT_RUN, retry_after=1, retryable=True
--- a/ragwortferry/http1/client.py
+++ b/ragwortferry/http1/client.py
@@ -14,6 +14,7 @@
 ]
 
 import asyncio
+import weakref
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -29,6 +30,8 @@
 IDLE_MARGIN_S = 1.0
 # The peer runs on the same instance or is a few milliseconds away.
 CONNECT_TIMEOUT_S = 1.0
+# Time for which a new connection must stay open to show that the server accepts it.
+PROBE_S = 0.03
 # Maximum number of bytes between two parts of a body or before the first: heads,
 # trailers and the framing of chunks.
 MAX_HEAD_BYTES = 65_536
@@ -40,11 +43,14 @@
     """The connection failed, closed early or carried an invalid response.
 
     :param sent: whether any part of the request may have reached the server.
+    :param refused: whether the server's host rejected a new connection, so that no
+        server listens there.
     """
 
-    def __init__(self, reason: str, sent: bool):
+    def __init__(self, reason: str, sent: bool, refused: bool = False):
         super().__init__(reason)
         self.sent = sent
+        self.refused = refused
 
 
 @dataclass(slots=True)
@@ -115,6 +121,11 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection is open, idle or not."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def idle_time(self) -> float:
         """Return the seconds since the last response or, before it, since the start."""
         return self._loop.time() - self.idle_since
@@ -290,7 +301,8 @@
         return connection
     except (OSError, TimeoutError) as error:
         reason = f"cannot connect to {address.host}:{address.port}: {error!r}"
-        raise ConnectionBrokenError(reason, sent=False) from None
+        refused = isinstance(error, ConnectionError)
+        raise ConnectionBrokenError(reason, sent=False, refused=refused) from None
 
 
 class Pool:
@@ -303,8 +315,15 @@
         self._address = address
         self._own_host = own_host
         self._idle: list[ClientConnection] = []
+        # All connections that may still be open.
+        self._opened: weakref.WeakSet[ClientConnection] = weakref.WeakSet()
         self.connections_opened = 0
 
+    @property
+    def has_open(self) -> bool:
+        """Return whether a connection is open, idle or not."""
+        return any(connection.is_open for connection in self._opened)
+
     async def acquire(self, max_idle_s: float) -> ClientConnection:
         """Return a connection that was idle for at most ``max_idle_s``, or a new one.
 
@@ -319,8 +338,28 @@
                 self._idle.append(connection)
                 break
             return connection
+        return await self._open()
+
+    async def _open(self) -> ClientConnection:
         self.connections_opened += 1
-        return await open_connection(self._address, self._own_host)
+        connection = await open_connection(self._address, self._own_host)
+        self._opened.add(connection)
+        return connection
+
+    async def is_rejected(self) -> bool:
+        """Return whether a new connection is refused, or closed at once.
+
+        A proxy before the server may accept the connection and then close it.
+        """
+        try:
+            connection = await self._open()
+        except ConnectionBrokenError as error:
+            return error.refused
+        await asyncio.sleep(PROBE_S)
+        if not connection.is_open:
+            return True
+        self.release(connection)
+        return False
 
     def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
--- a/ragwortferry/mesh/attempt.py
+++ b/ragwortferry/mesh/attempt.py
@@ -43,6 +43,7 @@
     :param version: version of the configuration that routed the request.
     :param caller: service of the instance on which the request originated.
     :param target: request target: path and query string.
+    :param trial: whether it runs although upstreams have crashed under the request.
     """
 
     key: str
@@ -60,6 +61,7 @@
     target: str
     headers: Headers
     body: bytes
+    trial: bool = False
 
 
 class ReplySink(Protocol):
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -18,10 +18,12 @@
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.balance import Balancer
 from ragwortferry.mesh.budget import RetryBudget
+from ragwortferry.mesh.fingerprint import RequestKind
 from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.model import Document, Limits, Route, Upstream
 from ragwortferry.mesh.owner import Owner
 from ragwortferry.mesh.peers import Peers
+from ragwortferry.mesh.quarantine import Quarantine, Ruling
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.response import AttemptState
 from ragwortferry.mesh.splits import TrafficSplitter
@@ -62,8 +64,9 @@
 # Maximum number of limits named in the log line of a refusal.
 MAX_LOGGED_LIMITS = 8
 
-# Refusals because of load, which do not count as failures of the upstream.
-_OVERLOAD_KINDS = (ErrorKind.OVERLOADED, ErrorKind.EXPIRED)
+# Refusals that do not count as failures of the upstream: because of load, or of the
+# request itself.
+_OVERLOAD_KINDS = (ErrorKind.OVERLOADED, ErrorKind.EXPIRED, ErrorKind.QUARANTINED)
 # Failures after which an upstream is ejected.
 _EJECTING_KINDS = (ErrorKind.CONNECT_FAILED, ErrorKind.LEAVING, ErrorKind.NOT_OWNER)
 
@@ -85,6 +88,7 @@
     :param response: last response of an upstream. Once there is one, the request has
         run, and the caller must not get a not-run error.
     :param limits: limits because of which no further upstream was tried.
+    :param trial: whether it runs although upstreams have crashed under it.
     """
 
     request: Request
@@ -102,12 +106,14 @@
     failure: Failure | None = None
     response: Reply | None = None
     limits: list[dict] = field(default_factory=list)
+    trial: bool = False
 
 
 class Entry:
     """Serves the callers on this instance.
 
     :param aperture: selects the upstreams that the balancer compares.
+    :param quarantine: decides which requests are refused because they crash upstreams.
     :param address: address at which callers connect.
     :param service: service of this instance, sent to upstreams as the caller's.
     :param key_prefix: prefix of the attempt keys, unique to this process.
@@ -122,6 +128,7 @@
         owner: Owner,
         peers: Peers,
         pacer: EgressPacer,
+        quarantine: Quarantine,
         recorder: Recorder,
         address: Address,
         service: str,
@@ -135,6 +142,7 @@
         self._balancer = balancer
         self._owner = owner
         self._peers = peers
+        self._quarantine = quarantine
         self._recorder = recorder
         self._address = address
         self._service = service
@@ -153,6 +161,8 @@
         self.in_flight = 0
         # Requests refused because the limits of all upstreams were reached.
         self.refused_for_limit = 0
+        # Requests refused because upstreams have crashed under them.
+        self.refused_in_quarantine = 0
         state.on_document.append(lambda document: self._apply_limits(document.limits))
         state.on_registry.append(lambda change: balancer.forget(change.removed.keys()))
         peers.on_load = self._record_load
@@ -274,8 +284,52 @@
             return
         now = asyncio.get_running_loop().time()
         self._budget(context.service).record_request(route.name, now)
+        context.failure = self._quarantine_failure(context, now)
+        if context.failure is not None:
+            self._respond_failed(exchange, context)
+            return
         await self._try_upstreams(exchange, context)
 
+    def _quarantine_failure(
+        self, context: RequestContext, now: float
+    ) -> Failure | None:
+        """Return the refusal if upstreams crash under a request.
+
+        If a trial of it is due, the request becomes that trial.
+        """
+        kind = self._suspect_kind(context)
+        if kind is None:
+            return None
+        verdict = self._quarantine.check(kind, now)
+        if verdict.ruling is Ruling.TRIAL:
+            self._quarantine.begin_trial(kind, now)
+            context.trial = True
+        if verdict.ruling is not Ruling.REFUSED:
+            return None
+        self.refused_in_quarantine += 1
+        return Failure(
+            ErrorKind.QUARANTINED,
+            Outcome.NOT_RUN,
+            "upstreams have crashed under this request",
+            verdict.retry_after_s,
+        )
+
+    def _is_accused(self, context: RequestContext) -> bool:
+        """Return whether a lost response of a request is likely due to a crash."""
+        kind = self._suspect_kind(context)
+        return kind is not None and self._quarantine.is_accused(kind)
+
+    def _suspect_kind(self, context: RequestContext) -> RequestKind | None:
+        """Return the kind of a request if it may crash upstreams, else ``None``."""
+        request = context.request
+        return self._quarantine.find(
+            self._service,
+            request.method,
+            request.target,
+            end_to_end(request.headers),
+            request.body,
+        )
+
     def _elapsed_before(self, route: Route, remaining_s: float) -> float:
         """Return the time since the first attempt of a caller that retries, in seconds.
 
@@ -433,6 +487,7 @@
             target=request.target,
             headers=end_to_end(request.headers),
             body=request.body,
+            trial=context.trial,
         )
 
     def _cancel(self, attempt: Attempt, attempt_state: AttemptState | None) -> None:
@@ -471,6 +526,8 @@
         failure, route = reply.failure, context.route
         if context.deadline <= now:
             return False
+        if failure is not None and failure.kind is ErrorKind.QUARANTINED:
+            return False
         if failure is None:
             if reply.status < SERVER_ERROR or not route.idempotent:
                 return False
@@ -480,6 +537,9 @@
             return context.refusals <= MAX_REFUSALS
         if context.arrivals >= route.max_attempts:
             return False
+        lost = failure is not None and failure.outcome is not Outcome.NOT_RUN
+        if lost and self._is_accused(context):
+            return False
         upstream = self._pick(context, now)
         if upstream is None:
             return False
--- /dev/null
+++ b/ragwortferry/mesh/guard.py
@@ -0,0 +1,160 @@
+"""Protects the upstream of this instance from requests that crash it."""
+
+__all__ = ["CrashGuard"]
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from ragwortferry.exceptions import ErrorKind
+from ragwortferry.http1.client import Pool
+from ragwortferry.logs import Log
+from ragwortferry.mesh.attempt import Attempt, Failure
+from ragwortferry.mesh.crashes import CrashMonitor
+from ragwortferry.mesh.evidence import EvidenceExchange
+from ragwortferry.mesh.fingerprint import RequestKind
+from ragwortferry.mesh.quarantine import TRIAL_RETRY_AFTER_S, Quarantine, Ruling
+from ragwortferry.mesh.response import AttemptState, not_run
+from ragwortferry.mesh.state import MeshState
+
+# Time in which the losses of all connections arrive after a crash.
+SETTLE_S = 0.01
+# Retry-After time of a suspect that does not run beside another one.
+ISOLATION_RETRY_AFTER_S = 0.1
+# Maximum number of requests named in the log line of a crash.
+MAX_LOGGED_REQUESTS = 20
+
+
+class CrashGuard:
+    """Finds crashes of the upstream, and refuses the requests that cause them.
+
+    The upstream has crashed if a response was lost, no connection to it is left, and a
+    new one is refused. A single lost connection, a silent upstream and one that is
+    leaving are no crashes.
+
+    :param pool: connections to the upstream.
+    :param on_crash: called when the upstream is found to have crashed.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        evidence: EvidenceExchange,
+        state: MeshState,
+        pool: Pool,
+        on_crash: Callable[[], None],
+        log: Log,
+    ):
+        self._quarantine = quarantine
+        self._evidence = evidence
+        self._state = state
+        self._pool = pool
+        self._on_crash = on_crash
+        self._log = log
+        self._monitor = CrashMonitor()
+        self._search: asyncio.Task | None = None
+        self.crashes = 0
+        self.refused = 0
+
+    def stop(self) -> None:
+        """Stop to look for a crash."""
+        if self._search is not None:
+            self._search.cancel()
+
+    def refusal(
+        self, attempt_state: AttemptState, others: Iterable[AttemptState], now: float
+    ) -> Failure | None:
+        """Return why an attempt must not run now, ``None`` if it may.
+
+        :param others: the other attempts at the upstream.
+        """
+        attempt = attempt_state.attempt
+        kind = self._find(attempt)
+        if kind is None:
+            return None
+        verdict = self._quarantine.check(kind, now)
+        if verdict.ruling is not Ruling.ALLOWED and not attempt.trial:
+            self.refused += 1
+            retry_after_s = verdict.retry_after_s or TRIAL_RETRY_AFTER_S
+            detail = "upstreams have crashed under this request"
+            return not_run(ErrorKind.QUARANTINED, detail, retry_after_s)
+        if self._quarantine.is_isolated(kind) and self._runs_other(kind, others):
+            detail = "another request is running under which upstreams have crashed"
+            return not_run(ErrorKind.OVERLOADED, detail, ISOLATION_RETRY_AFTER_S)
+        return None
+
+    def _find(self, attempt: Attempt) -> RequestKind | None:
+        return self._quarantine.find(
+            attempt.caller,
+            attempt.method,
+            attempt.target,
+            attempt.headers,
+            attempt.body,
+        )
+
+    def _runs_other(self, kind: RequestKind, others: Iterable[AttemptState]) -> bool:
+        """Return whether an isolated request of another kind is running."""
+        for item in others:
+            if item.sent:
+                other = self._find(item.attempt)
+                if other not in (None, kind) and self._quarantine.is_isolated(other):
+                    return True
+        return False
+
+    def record_completed(self, attempt: Attempt) -> None:
+        """Record that the upstream has run an attempt to its end."""
+        self._monitor.record_completed(attempt)
+        kind = self._find(attempt)
+        if kind is not None:
+            self._evidence.report_completed(kind)
+
+    def record_lost(self, attempt: Attempt, broken: bool) -> None:
+        """Record that an attempt was sent to the upstream and has no response.
+
+        :param broken: whether its connection broke, which may be due to a crash.
+        """
+        self._monitor.record_lost(attempt, asyncio.get_running_loop().time())
+        if broken:
+            self.search()
+
+    def search(self) -> None:
+        """Find out soon whether the upstream has crashed."""
+        loop = asyncio.get_running_loop()
+        if self._search is None and self._monitor.lost(loop.time()):
+            self._search = loop.create_task(self._find_crash())
+            self._search.add_done_callback(self._on_search_done)
+
+    async def wait_for_search(self) -> None:
+        """Wait until it is known whether the upstream has crashed.
+
+        The sender of a lost attempt then decides on a retry with that knowledge.
+        """
+        if self._search is not None:
+            await asyncio.wait([self._search])
+
+    def _on_search_done(self, task: asyncio.Task) -> None:
+        self._search = None
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error("search for a crash failed", task.exception())
+
+    async def _find_crash(self) -> None:
+        await asyncio.sleep(SETTLE_S)
+        if self._pool.has_open or not await self._pool.is_rejected():
+            return
+        now = asyncio.get_running_loop().time()
+        lost = self._monitor.lost(now)
+        upstream = lost[-1].upstream if lost else ""
+        suspects = self._monitor.end_incarnation(upstream, now)
+        self._on_crash()
+        known = self._state.upstreams.get(upstream)
+        leaving = known is not None and known.draining
+        if not lost or leaving or self._state.is_leaving(upstream):
+            return
+        self.crashes += 1
+        self._log.event(
+            "upstream-crashed",
+            f"upstream {upstream} has crashed",
+            upstream=upstream,
+            crash=self._evidence.report_crash(suspects),
+            suspects=len(suspects),
+            requests=[item.request_id for item in lost[-MAX_LOGGED_REQUESTS:]],
+        )
--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/link.py
@@ -66,6 +66,8 @@
         self.peer_store_available = True
         # Whether the peer understands and sends reports of what callers have taken.
         self.peer_reports_taken = False
+        # Whether the peer understands evidence about crashes.
+        self.peer_shares_evidence = False
         self.last_received_at = self._loop.time()
         self.closed = False
         self._hello_received = asyncio.Event()
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -15,9 +15,11 @@
 from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.balance import Balancer
 from ragwortferry.mesh.entry import Entry
+from ragwortferry.mesh.evidence import EvidenceExchange
 from ragwortferry.mesh.metrics import NodeMetrics
 from ragwortferry.mesh.owner import Owner
 from ragwortferry.mesh.peers import Peers
+from ragwortferry.mesh.quarantine import Quarantine
 from ragwortferry.mesh.reader import Reader
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.relay import Relay
@@ -110,6 +112,17 @@
         pacer = kernel.add(
             "outflow", EgressPacer(settings.link_mbps, asyncio.get_running_loop())
         )
+        quarantine = kernel.add("quarantine", Quarantine(settings.host))
+        evidence = kernel.add(
+            "evidence",
+            EvidenceExchange(
+                quarantine,
+                relay,
+                self._incarnation,
+                log.component("quarantine"),
+                self._rng,
+            ),
+        )
         owner = kernel.add(
             "owner",
             Owner(
@@ -117,6 +130,8 @@
                 pacer,
                 settings.target_address,
                 settings.host,
+                quarantine,
+                evidence,
                 Recorder(log.component("owner"), metrics, settings.service),
                 log.component("owner"),
             ),
@@ -129,6 +144,7 @@
                 state,
                 owner,
                 relay,
+                evidence,
                 settings.link_address,
                 settings.peer_port,
                 settings.seeds,
@@ -150,6 +166,7 @@
                 owner,
                 peers,
                 pacer,
+                quarantine,
                 recorder,
                 settings.listen_address,
                 settings.service,
@@ -170,7 +187,7 @@
             "readiness", Server(self._serve_readiness, address.host, address.port)
         )
         kernel.add("pages", Server(self._serve_metrics, settings.host, METRICS_PORT))
-        _register_gauges(metrics, state, owner, peers, entry, store)
+        _register_gauges(metrics, state, owner, peers, entry, store, quarantine)
         metrics.add_counters("link_bytes", "message", lambda: pacer.bytes_by_kind)
         metrics.add_gauges("links_by_reason", "reason", lambda: peers.count_by_reason)
         metrics.add_gauge("links_accepted", lambda: peers.accepted_count)
@@ -286,6 +303,7 @@
     peers: Peers,
     entry: Entry,
     store: StoreClient,
+    quarantine: Quarantine,
 ) -> None:
     metrics.add_gauge("version", lambda: state.version)
     metrics.add_gauge("registry_revision", lambda: state.revision)
@@ -305,3 +323,8 @@
     metrics.add_gauge("owner_ran", lambda: owner.ran)
     metrics.add_gauge("upstream_connections_opened", lambda: owner.connections_opened)
     metrics.add_gauge("store_calls", lambda: store.calls)
+    metrics.add_gauge("upstream_crashes", lambda: owner.crashes)
+    metrics.add_gauge("suspects", lambda: quarantine.suspect_count)
+    metrics.add_gauge("requests_quarantined", lambda: quarantine.convicted_count)
+    metrics.add_gauge("entry_refused_quarantined", lambda: entry.refused_in_quarantine)
+    metrics.add_gauge("owner_refused_quarantined", lambda: owner.refused_in_quarantine)
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -18,7 +18,10 @@
 from ragwortferry.mesh.advertised import AdvertisedState
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
 from ragwortferry.mesh.averages import RouteAverages
+from ragwortferry.mesh.evidence import EvidenceExchange
 from ragwortferry.mesh.frames import Advertisement, Load
+from ragwortferry.mesh.guard import CrashGuard
+from ragwortferry.mesh.quarantine import Quarantine
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.response import (
     MISDIRECTED,
@@ -64,6 +67,8 @@
 
     :param target: address of the upstream, ``None`` if there is none.
     :param own_host: IP address of this instance.
+    :param quarantine: decides which requests are refused because they crash upstreams.
+    :param evidence: spreads which requests were at work in a crash.
     """
 
     def __init__(
@@ -72,6 +77,8 @@
         pacer: EgressPacer,
         target: Address | None,
         own_host: str,
+        quarantine: Quarantine,
+        evidence: EvidenceExchange,
         recorder: Recorder,
         log: Log,
     ):
@@ -81,6 +88,11 @@
         self._own_host = own_host
         self._recorder = recorder
         self._pool = Pool(target, own_host) if target else None
+        self._guard: CrashGuard | None = None
+        if self._pool:
+            self._guard = CrashGuard(
+                quarantine, evidence, state, self._pool, self._on_crash, log
+            )
         self._admission = AdmissionQueue(INITIAL_SLOTS, self._on_expired)
         self._attempts: dict[int, AttemptState] = {}
         # Mean response size of each route, in bytes.
@@ -121,6 +133,16 @@
         """Return the number of attempts that wait for the upstream's limit."""
         return self._admission.held
 
+    @property
+    def crashes(self) -> int:
+        """Return how often the upstream was found to have crashed."""
+        return self._guard.crashes if self._guard else 0
+
+    @property
+    def refused_in_quarantine(self) -> int:
+        """Return the number of attempts refused because they crash upstreams."""
+        return self._guard.refused if self._guard else 0
+
     @property
     def idle(self) -> bool:
         """Return whether no attempt is queued or running."""
@@ -176,6 +198,8 @@
         for attempt_state in list(self._attempts.values()):
             if attempt_state.task:
                 attempt_state.task.cancel()
+        if self._guard:
+            self._guard.stop()
         if self._pool:
             self._pool.clear()
 
@@ -204,7 +228,7 @@
         )
         attempt_state = AttemptState(attempt, sink, job, now)
         job.payload = attempt_state
-        failure = self._rejection(attempt, now)
+        failure = self._rejection(attempt, now) or self._quarantine(attempt_state, now)
         if failure is None:
             self._set_slots(attempt)
             refusal = self._admission.admit(job, now)
@@ -272,6 +296,16 @@
             return not_run(ErrorKind.CONNECT_FAILED, detail, CONNECT_RETRY_AFTER_S)
         return None
 
+    def _quarantine(self, attempt_state: AttemptState, now: float) -> Failure | None:
+        """Return why an attempt is not run if upstreams have crashed under it."""
+        return self._guard.refusal(attempt_state, self._attempts.values(), now)
+
+    def _on_crash(self) -> None:
+        """Accept no attempts for a moment and let the other nodes know at once."""
+        now = asyncio.get_running_loop().time()
+        self._unreachable_until = now + CONNECT_BACKOFF_S
+        self.on_news()
+
     def _set_slots(self, attempt: Attempt) -> None:
         known = self._state.upstreams.get(attempt.upstream)
         if known is not None:
@@ -423,14 +457,17 @@
         self, attempt_state: AttemptState, response: UpstreamResponse
     ) -> None:
         """Send an attempt to the upstream and forward the response."""
-        attempt = attempt_state.attempt
+        attempt, loop = attempt_state.attempt, asyncio.get_running_loop()
         max_idle = MAX_IDLE_S if attempt.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
+        if failure := self._quarantine(attempt_state, loop.time()):
+            self._refuse(attempt_state, failure)
+            return
         try:
             connection = await self._pool.acquire(max_idle)
         except ConnectionBrokenError as error:
-            self._unreachable_until = (
-                asyncio.get_running_loop().time() + CONNECT_BACKOFF_S
-            )
+            self._unreachable_until = loop.time() + CONNECT_BACKOFF_S
+            if error.refused:
+                self._guard.search()
             failure = not_run(
                 ErrorKind.CONNECT_FAILED, str(error), CONNECT_RETRY_AFTER_S
             )
@@ -444,6 +481,12 @@
                 self._pool.release(connection)
             else:
                 connection.close()
+            if response.ended and response.ran:
+                self._guard.record_completed(attempt)
+            elif attempt_state.sent and not response.ended:
+                self._guard.record_lost(attempt, response.broken)
+        if response.broken:
+            await self._guard.wait_for_search()
         self._record(attempt_state, failure, response.status, response.size)
         if failure is None:
             attempt_state.sink.on_reply_end(self.load())
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -14,11 +14,13 @@
 from ragwortferry.logs import Log
 from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
+from ragwortferry.mesh.evidence import EvidenceExchange
 from ragwortferry.mesh.frames import (
     Advertisement,
     Cancel,
     Data,
     End,
+    Evidence,
     Failed,
     Frame,
     Head,
@@ -152,6 +154,7 @@
 
     :param owner: runs the attempts that peers submit.
     :param relay: handles the messages that distribute state.
+    :param evidence: handles the messages about requests that crash upstreams.
     :param address: where this node accepts links.
     :param peer_port: port where all other nodes accept links.
     :param seeds: IP addresses of nodes to request the state from at the start.
@@ -166,6 +169,7 @@
         state: MeshState,
         owner: Owner,
         relay: Relay,
+        evidence: EvidenceExchange,
         address: Address,
         peer_port: int,
         seeds: tuple[str, ...],
@@ -180,6 +184,7 @@
         self._state = state
         self._owner = owner
         self._relay = relay
+        self._evidence = evidence
         self._address = address
         self._peer_port = peer_port
         self._zone = zone
@@ -439,6 +444,8 @@
             link.own_subscription = wanted
             state = self._state
             link.send(Subscribe(wanted, state.version, state.revision))
+            if wanted:
+                self._relay.on_synchronize(link)
 
     async def _maintain(self, peer: _Peer) -> None:
         """Dial a peer again whenever its link is lost, for as long as it is wanted."""
@@ -525,7 +532,8 @@
                 state.revision,
                 self._pacer.mbps,
                 self.advertised_at(link.host) if link.dialed else [],
-                True,
+                reports_taken=True,
+                shares_evidence=True,
             )
         )
 
@@ -589,10 +597,13 @@
             case Taken():
                 if found := self._accepted.get(link, {}).get(frame.key):
                     found[1].window.take(frame.size)
+            case Evidence():
+                self._evidence.on_evidence(link, frame)
             case Hello():
                 link.host, link.zone = frame.host, frame.zone
                 link.subscribed, link.peer_mbps = frame.relays, frame.link_mbps
                 link.peer_reports_taken = frame.reports_taken
+                link.peer_shares_evidence = frame.shares_evidence
                 link.mark_hello_received()
                 if frame.advertised:
                     self._owner.adopt_advertised(frame.advertised, frame.host)
--- a/ragwortferry/mesh/relay.py
+++ b/ragwortferry/mesh/relay.py
@@ -71,6 +71,9 @@
         self.on_bandwidth = lambda: None
         # Whether a node can be reached, as far as this one knows; set by Peers.
         self.is_reachable: Callable[[str], bool] = lambda host: True
+        # Called with each link to a new neighbour, or to a node that has no state yet;
+        # set by EvidenceExchange.
+        self.on_synchronize: Callable[[Link], None] = lambda link: None
         self.neighbours: set[str] = set()
         # Whether the last calls to the store succeeded; set by Reader.
         self.store_available = True
@@ -120,7 +123,7 @@
         hubs = self._known_hubs()
         if hubs != self._announced_hubs:
             self._announced_hubs = hubs
-            for link in self._neighbour_links():
+            for link in self.neighbour_links():
                 link.send(Bandwidths(hubs))
 
     def _known_hubs(self) -> list[tuple[str, float]]:
@@ -187,7 +190,7 @@
         ratio = self._bandwidths.get(hub, own) / own
         return FANOUT * max(1, min(MAX_FANOUT_RATIO, int(ratio)))
 
-    def _neighbour_links(self) -> list[Link]:
+    def neighbour_links(self) -> list[Link]:
         """Return one link to each neighbour in the tree."""
         chosen: dict[str, Link] = {}
         for link in self.links():
@@ -209,7 +212,7 @@
         return link.subscribed or (link.dialed and link.host in self.neighbours)
 
     def _push_document(self, document: Document) -> None:
-        neighbour_links = self._neighbour_links()
+        neighbour_links = self.neighbour_links()
         for link in [*neighbour_links, *self._stateless_links(neighbour_links)]:
             if link.peer_version >= document.version:
                 continue
@@ -220,7 +223,7 @@
 
     def _push_registry(self, change: RegistryChange) -> None:
         frame = _registry_frame(change)
-        neighbour_links = self._neighbour_links()
+        neighbour_links = self.neighbour_links()
         for link in neighbour_links:
             link.send(frame)
         for link in self._stateless_links(neighbour_links):
@@ -257,6 +260,8 @@
                 self._send_registry(link, revision)
             if self._announced_hubs:
                 link.send(Bandwidths(self._announced_hubs))
+        if self._is_neighbour(link) or not revision:
+            self.on_synchronize(link)
         self.on_peer_state(link, version, revision)
 
     def on_peer_state(self, link: Link, version: int, revision: int) -> None:
--- a/ragwortferry/mesh/remote.py
+++ b/ragwortferry/mesh/remote.py
@@ -101,6 +101,7 @@
         target=attempt.target,
         headers=attempt.headers,
         body=attempt.body,
+        trial=attempt.trial,
     )
 
 
@@ -126,6 +127,7 @@
         target=frame.target,
         headers=frame.headers,
         body=frame.body,
+        trial=frame.trial,
     )
 
 
--- a/ragwortferry/mesh/response.py
+++ b/ragwortferry/mesh/response.py
@@ -79,6 +79,8 @@
         # Whether the request timed out, here or at the upstream.
         self.timed_out = False
         self.failed = False
+        # Whether the connection broke before the end of the response.
+        self.broken = False
         self.failure: Failure | None = None
 
     def accepts(self, head: ResponseHead) -> bool:
@@ -146,6 +148,7 @@
 
     def on_error(self, error: ConnectionBrokenError) -> None:
         """Report that the response is missing or truncated."""
+        self.broken = True
         if not self.done.done():
             self.done.set_exception(error)
 
--- a/ragwortferry/mesh/tests/test_transfers.py
+++ b/ragwortferry/mesh/tests/test_transfers.py
@@ -189,6 +189,7 @@
             state,
             None,
             relay,
+            None,
             address,
             8145,
             (),
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -8,6 +8,8 @@
     "a_pacer",
     "a_route",
     "an_attempt",
+    "an_exchange",
+    "an_owner",
     "a_registry_entry",
     "an_upstream",
     "null_log",
@@ -20,8 +22,13 @@
 
 from ragwortferry.logs import Log, LogContext
 from ragwortferry.mesh.attempt import Attempt
+from ragwortferry.mesh.evidence import EvidenceExchange
 from ragwortferry.mesh.frames import Load
 from ragwortferry.mesh.model import Destination, Document, Limits, Route, Upstream
+from ragwortferry.mesh.owner import Owner
+from ragwortferry.mesh.quarantine import Quarantine
+from ragwortferry.mesh.relay import Relay
+from ragwortferry.mesh.state import MeshState
 from ragwortferry.utils.clock import HybridClock
 from ragwortferry.utils.egress import EgressPacer
 from ragwortferry.utils.sockets import Address
@@ -120,6 +127,30 @@
     return EgressPacer(mbps, ManualLoop())
 
 
+def an_exchange(
+    relay: Relay, quarantine: Quarantine, incarnation: str = "incarnation"
+) -> EvidenceExchange:
+    """Return the exchange of evidence of a node."""
+    rng = random.Random(incarnation)
+    return EvidenceExchange(quarantine, relay, incarnation, null_log(), rng)
+
+
+def an_owner(state: MeshState, target: Address, recorder) -> Owner:
+    """Return the owner of an upstream."""
+    quarantine = Quarantine(target.host)
+    evidence = an_exchange(Relay(state, target.host, "a"), quarantine)
+    return Owner(
+        state,
+        a_pacer(),
+        target,
+        target.host,
+        quarantine,
+        evidence,
+        recorder,
+        null_log(),
+    )
+
+
 def an_attempt(**changes) -> Attempt:
     """Return an attempt at an upstream."""
     values = {
