Give upstreams with few measured service times their share of requests

Cause: the balancer compares mean service times. The first sample of an upstream was taken as it is, and an owner without a sample reported the initial 100 ms. An upstream whose few requests were slow got no others, so its mean never changed.

Change: load reports state the number of samples, and the balancer weighs an upstream's mean against that of all upstreams; the second sample replaces the first, the next ones count equally.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -100,18 +100,20 @@
     """Moving averages of service times, in seconds.
 
     :param mean_s: average over all routes.
-    :param measured: whether there was a sample yet.
+    :param samples: number of samples.
     """
 
     by_route: RouteAverages = field(default_factory=lambda: RouteAverages(SMOOTHING))
     mean_s: float = INITIAL_SERVICE_S
-    measured: bool = False
+    samples: int = 0
 
     def update(self, route: str, seconds: float) -> None:
         self.by_route.update(route, seconds)
-        gain = SMOOTHING if self.measured else 1.0
+        self.samples += 1
+        # The first sample includes the start of a connection, so the second one
+        # replaces it; the next ones count equally.
+        gain = max(SMOOTHING, 1 / max(1, self.samples - 1))
         self.mean_s += gain * (seconds - self.mean_s)
-        self.measured = True
 
     def get(self, route: str) -> float:
         return self.by_route.get(route, self.mean_s)
@@ -167,6 +169,11 @@
         """Return the mean service time of the upstream, in seconds."""
         return self._service_times.mean_s
 
+    @property
+    def service_samples(self) -> int:
+        """Return the number of service times that were measured."""
+        return self._service_times.samples
+
     @property
     def held(self) -> int:
         """Return the number of queued jobs that wait for the rate limit, not a slot."""
--- a/ragwortferry/mesh/balance.py
+++ b/ragwortferry/mesh/balance.py
@@ -48,6 +48,9 @@
 FAILURE_RATIO_PENALTY = 2.0
 # Seconds after which a load report is ignored and default values are used instead.
 REPORT_TTL_S = 5.0
+# Number of samples at which an upstream's own mean service time counts as much as that
+# of all upstreams of the service.
+PRIOR_SAMPLES = 32
 # Increase of the service time from an idle to a fully used upstream, as a fraction.
 FULL_SLOWDOWN_FRACTION = 0.3
 NEVER_S = float("inf")
@@ -226,10 +229,14 @@
         return now >= self.stats(upstream, now).next_share_at
 
     def _mean_service_s(self, upstreams: Collection[Upstream], now: float) -> float:
-        """Return the mean of the reported service times, in seconds."""
+        """Return the mean of the measured service times by samples, in seconds."""
         loads = [self.stats(item, now).load for item in upstreams]
-        times = [load.service_ms / 1000 for load in loads if load]
-        return sum(times) / len(times) if times else INITIAL_SERVICE_S
+        total_ms, samples = 0.0, 0
+        for load in loads:
+            if load is not None:
+                total_ms += load.samples * load.service_ms
+                samples += load.samples
+        return total_ms / samples / 1000 if samples else INITIAL_SERVICE_S
 
     def cost(
         self,
@@ -259,17 +266,21 @@
         self,
         upstream: Upstream,
         now: float,
-        mean_service_s: float = INITIAL_SERVICE_S,
+        mean_service_s: float | None = None,
         priority: int = 0,
     ) -> tuple[float, float]:
-        """Return the expected queueing delay and service time, in seconds."""
+        """Return the expected queueing delay and service time, in seconds.
+
+        :param mean_service_s: mean service time of all upstreams of the service if it
+            is known.
+        """
         stats = self.stats(upstream, now)
         load = stats.load if now - stats.reported_at < REPORT_TTL_S else None
         limited = load is not None and upstream.id in self._limited
         slots = load.slots if load else upstream.slots
-        service_s = load.service_ms / 1000 if load else mean_service_s
+        service_s = _expected_service_s(load, mean_service_s)
         if now - stats.known_since < stats.cold_s:
-            service_s = max(service_s, COLD_FACTOR * mean_service_s)
+            service_s = max(service_s, COLD_FACTOR * (mean_service_s or service_s))
         at_report = load.running + load.queued if load else 0
         since_report = max(0, stats.in_flight - stats.in_flight_base)
         occupied = max(stats.in_flight, at_report + since_report)
@@ -348,3 +359,19 @@
         )
         rest = min(len(other_zones), MAX_COMPARED - len(same_zone))
         return same_zone + self._rng.sample(other_zones, rest)
+
+
+def _expected_service_s(load: Load | None, mean_service_s: float | None) -> float:
+    """Return the expected service time of an upstream, in seconds.
+
+    After few samples it is close to the mean of all upstreams, and the first one does
+    not count: an upstream whose first requests were slow would otherwise get no others
+    while the rest has room.
+    """
+    if load is None:
+        return INITIAL_SERVICE_S if mean_service_s is None else mean_service_s
+    if mean_service_s is None:
+        return load.service_ms / 1000
+    counted = max(0, load.samples - 1)
+    weight = counted / (counted + PRIOR_SAMPLES)
+    return mean_service_s + weight * (load.service_ms / 1000 - mean_service_s)
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -17,6 +17,7 @@
     "Head",
     "Hello",
     "Load",
+    "MAX_SAMPLES",
     "Part",
     "Ping",
     "Pong",
@@ -34,6 +35,9 @@
 from ragwortferry.mesh.fingerprint import RequestKind
 from ragwortferry.mesh.model import Upstream
 
+# Largest number of samples that a load report states.
+MAX_SAMPLES = 1_000
+
 
 class Advertisement(Struct, array_like=True, frozen=True):
     """What an upstream states about itself in its responses.
@@ -70,6 +74,8 @@
     :param link_mbps: bandwidth of the instance's network link, in Mbit/s.
     :param send_ms: time until all waiting long responses are sent, in milliseconds.
     :param advertised: what the upstream states about itself, ``None`` if nothing.
+    :param samples: number of requests that ``service_ms`` was measured on, at most
+        ``MAX_SAMPLES``. A node of an earlier build does not tell.
     """
 
     running: int
@@ -82,6 +88,7 @@
     link_mbps: float
     send_ms: float
     advertised: Advertisement | None = None
+    samples: int = MAX_SAMPLES
 
 
 class Hello(Struct, tag=1, array_like=True):
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -19,7 +19,7 @@
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.evidence import EvidenceExchange
-from ragwortferry.mesh.frames import Advertisement, Load
+from ragwortferry.mesh.frames import MAX_SAMPLES, Advertisement, Load
 from ragwortferry.mesh.guard import CrashGuard
 from ragwortferry.mesh.quarantine import Quarantine
 from ragwortferry.mesh.recording import Recorder
@@ -170,6 +170,7 @@
             self._pacer.mbps,
             round(self._pacer.queueing_delay_s * 1000, 1),
             self._advertisement(now),
+            min(MAX_SAMPLES, admission.service_samples),
         )
 
     def _advertisement(self, now: float) -> Advertisement | None:
--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -464,6 +464,40 @@
     assert max(counts.values()) <= 5
 
 
+@pytest.mark.parametrize("first_ms", [0.0, 60.0, 300.0])
+def test_upstream_whose_first_requests_were_slow_gets_its_share(first_ms):
+    """Without a sample, an owner reports the initial estimate."""
+    balancer = _balancer()
+    late, *others = upstreams = [an_upstream(f"i-{n}") for n in range(4)]
+    queue = AdmissionQueue(4, lambda job, refusal: None)
+
+    def run(seconds: float) -> None:
+        queue.admit(_job(0.0, objective=9, deadline=9), 0.0)
+        queue.finish(queue.start_next(0.0), seconds, True)
+
+    if first_ms:
+        run(first_ms / 1000)
+    picked = 0
+    for number in range(400):
+        for item in others:
+            balancer.record_report(item, a_load(service_ms=12.0), 0.0)
+        load = a_load(service_ms=queue.service_s * 1000, samples=queue.service_samples)
+        balancer.record_report(late, load, 0.0)
+        if balancer.pick(upstreams, (), 0.5, 0.0) is late:
+            run(0.012)
+            picked += number >= 200
+    assert picked >= 0.5 * 200 / len(upstreams)
+
+
+def test_upstream_that_is_slow_in_many_requests_is_avoided():
+    balancer = _balancer()
+    slow, fast = an_upstream("slow"), an_upstream("fast")
+    balancer.record_report(slow, a_load(service_ms=48.0), 0.0)
+    balancer.record_report(fast, a_load(service_ms=12.0), 0.0)
+    picks = {balancer.pick([slow, fast], (), 0.5, 0.0).id for _ in range(50)}
+    assert picks == {"fast"}
+
+
 def test_large_response_is_requested_from_own_instance_on_slow_network():
     balancer = Balancer("a", "10.0.0.1", 6.0, random.Random(3))
     here = an_upstream("here", address=Address("10.0.0.1", 8147))
