Play requests under which upstreams crash in the soak

Cause: the soak had no upstream that crashes because of a request.

Change: fault 'crasher': a request that crashes each upstream comes 20 times at random machines; upstreams are back after 1 to 3 s under their id. Entries of benchmarks.without for the quarantine and the weighed service times.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -25,6 +25,7 @@
 import aiohttp
 import fire
 
+from benchmarks.crashers import Crasher, check_crashers
 from benchmarks.delayed import DelayedActions
 from benchmarks.figures import Figures, Sample, second_of, write_figures
 from benchmarks.promises import Call, Findings, check_calls, check_versions
@@ -57,6 +58,9 @@
 # are no number.
 LIMITS = (("0",), ("1",), ("4.6",), ("2", "7.5", "0.5", "4"), ("-1", "many", "1e9"))
 LIMIT_CHANGE_S = 1.0
+# Repetitions of a request under which upstreams crash, the pause between them, and the
+# range of the times until a crashed upstream is back.
+CRASHER_REPETITIONS, CRASHER_PAUSE_S, DOWN_RANGE_S = 20, 0.3, (1.0, 3.0)
 # Limit of the memory of a node, in MB.
 MAX_MEMORY_MB = 64
 # Fraction of machines that kills, stops and pauses leave running.
@@ -128,6 +132,10 @@
         # All such times of each node, in ascending order.
         self._disturbances: dict[str, list[float]] = {}
         self.episodes: list[Episode] = []
+        self.crashers: list[Crasher] = []
+        # Running repetitions of crashers, and the downtime of each crashed upstream.
+        self.repetitions: list[asyncio.Task] = []
+        self._down_s: dict[tuple[str, int], float] = {}
         self.delayed = DelayedActions(self.rng, FAULT_DURATION_RANGE_S)
         self._started_at = time.monotonic()
         self._samples: list[Sample] = []
@@ -253,10 +261,39 @@
                 await self._call(session, f"{worker}-{number}")
                 await asyncio.sleep(CALL_PAUSE_S)
 
-    async def _call(self, session: aiohttp.ClientSession, request_id: str) -> None:
+    async def call_repeatedly(self, crasher: Crasher) -> None:
+        """Send a request under which upstreams crash to random machines."""
+        async with aiohttp.ClientSession() as session:
+            for number in range(CRASHER_REPETITIONS):
+                request_id = f"{crasher.request_ids}{number}"
+                await self._call(session, request_id, ("GET", crasher.path, False))
+                await asyncio.sleep(CRASHER_PAUSE_S)
+
+    async def restart_crashed(self, end: float) -> None:
+        """Start each crashed upstream again after a while, until the end."""
+        while time.monotonic() < end or any(
+            machine.upstream.crashed for machine in self.mesh.machines
+        ):
+            await asyncio.sleep(0.1)
+            for machine in self.mesh.machines:
+                upstream = machine.upstream
+                if upstream.crashed:
+                    down_s = self._down_s.setdefault(
+                        (upstream.name, len(upstream.crashes)),
+                        self._load_rng.uniform(*DOWN_RANGE_S),
+                    )
+                    if time.monotonic() - upstream.crashes[-1][0] >= down_s:
+                        await self.mesh.restart_upstream(machine, new_id=False)
+
+    async def _call(
+        self,
+        session: aiohttp.ClientSession,
+        request_id: str,
+        kind: tuple[str, str, bool] | None = None,
+    ) -> None:
         rng = self._load_rng
         machine = rng.choice(self.mesh.machines)
-        method, path, at_most_once = rng.choice(REQUEST_KINDS)
+        method, path, at_most_once = kind or rng.choice(REQUEST_KINDS)
         deadline_ms = rng.choice(DEADLINES_MS)
         body = b"fee " + request_id.encode() if at_most_once else b""
         path = path.format(request_id)
@@ -329,6 +366,7 @@
         """Check all calls, versions and error records."""
         check_calls(self.mesh, self.calls, self.findings)
         check_versions(self.mesh, self.findings)
+        check_crashers(self.mesh, self.crashers, self.findings)
         check_statements(self.episodes, self.calls, self._disturbances, self.findings)
         for machine in self.mesh.machines:
             for line in self.mesh.events(machine, "error"):
@@ -351,6 +389,8 @@
             "versions": self.version,
             "limits": sum(item.limit_per_s is not None for item in self.episodes),
             "departures": sum(item.limit_per_s is None for item in self.episodes),
+            "crashers": len(self.crashers),
+            "crashes": sum(len(m.upstream.crashes) for m in self.mesh.machines),
             "faults": dict(self.faults),
             "violations": dict(self.findings.violations),
         }
@@ -510,6 +550,19 @@
     soak.delayed.add(recover)
 
 
+@FAULTS.register("crasher")
+async def _crasher(soak: Soak) -> None:
+    number = len(soak.crashers) + 1
+    crasher = Crasher(f"/panels/crasher-{number}", f"crasher{number}-")
+    soak.crashers.append(crasher)
+    paths = {item.path for item in soak.crashers}
+    for machine in soak.mesh.machines:
+        machine.upstream.crashes_on = lambda method, path, body, caller: path in paths
+    soak.repetitions.append(
+        asyncio.get_running_loop().create_task(soak.call_repeatedly(crasher))
+    )
+
+
 @FAULTS.register("drain")
 async def _drain(soak: Soak) -> None:
     machine = soak.rng.choice(soak.mesh.machines)
@@ -591,16 +644,16 @@
         load = [loop.create_task(soak.run_caller(n, end)) for n in range(CALLERS)]
         load += [
             loop.create_task(part(end))
-            for part in (soak.sample, soak.check_while_running)
+            for part in (soak.sample, soak.check_while_running, soak.restart_crashed)
         ]
-        for kind in ("limit", "leave"):
+        for kind in ("limit", "leave", "crasher"):
             await FAULTS.get(kind)(soak)
         while time.monotonic() < end:
             kind = soak.rng.choice(FAULTS.names)
             soak.faults[kind] += 1
             await FAULTS.get(kind)(soak)
             await asyncio.sleep(soak.rng.uniform(*FAULT_PAUSE_RANGE_S))
-        await asyncio.gather(*load)
+        await asyncio.gather(*load, *soak.repetitions)
         await soak.recover()
         soak.check()
     finally:
--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -41,6 +41,12 @@
 HEARTBEAT = "ragwortferry/mesh/tests/test_heartbeat.py"
 DECODERS = "ragwortferry/platform/tests/test_decoders.py"
 CLIENT = "ragwortferry/http1/tests/test_client.py"
+QUARANTINE = "ragwortferry/mesh/tests/test_quarantine.py"
+QUARANTINE_FLEET = "ragwortferry/mesh/tests/test_quarantine_fleet.py"
+CRASHES = "ragwortferry/mesh/tests/test_crashes.py"
+CRASHING = "ragwortferry/mesh/tests/test_crashing_requests.py"
+EVIDENCE = "ragwortferry/mesh/tests/test_evidence.py"
+MESH_ENTRY = "ragwortferry/mesh/tests/test_entry.py"
 TEST_TIMEOUT_S = 180
 
 
@@ -480,6 +486,93 @@
         "for length in range(len(path), -1, -1):",
         f"{DECODERS}::test_match_looks_up_no_more_prefixes_than_their_lengths",
     ),
+    Mechanism(
+        "crash without an open connection only",
+        "ragwortferry/mesh/guard.py",
+        "if self._pool.has_open or not await self._pool.is_rejected():",
+        "if False:",
+        f"{CRASHES}::test_lost_connections_of_a_running_upstream_are_no_crash",
+    ),
+    Mechanism(
+        "innocence of what the process has completed",
+        "ragwortferry/mesh/crashes.py",
+        "if kind not in innocent",
+        "if True",
+        f"{CRASHES}"
+        "::test_lost_attempts_are_suspects_unless_the_process_has_completed_their_like",
+    ),
+    Mechanism(
+        "refusal by the owner",
+        "ragwortferry/mesh/guard.py",
+        "if verdict.ruling is not Ruling.ALLOWED and not attempt.trial:",
+        "if False:",
+        f"{CRASHES}::test_owner_refuses_a_convicted_request_but_not_its_trial",
+    ),
+    Mechanism(
+        "refusal by the entry",
+        "ragwortferry/mesh/entry.py",
+        "context.failure = self._quarantine_failure(context, now)",
+        "context.failure = None",
+        f"{MESH_ENTRY}::test_convicted_request_is_not_retried_and_then_refused",
+    ),
+    Mechanism(
+        "isolation of suspects",
+        "ragwortferry/mesh/guard.py",
+        "if self._quarantine.is_isolated(kind) and",
+        "if False and",
+        f"{CRASHES}::test_suspects_of_two_crashes_do_not_run_side_by_side",
+    ),
+    Mechanism(
+        "sender in the identity of a request",
+        "ragwortferry/mesh/fingerprint.py",
+        "    return _digest(service, *lines)",
+        "    return _digest()",
+        f"{QUARANTINE}::test_other_requests_stay_allowed",
+    ),
+    Mechanism(
+        "clearance by an end elsewhere",
+        "ragwortferry/mesh/quarantine.py",
+        "            suspect.crashes.pop(name, None)\n",
+        "",
+        f"{QUARANTINE}"
+        "::test_request_at_work_in_each_crash_is_cleared_by_its_end_elsewhere",
+    ),
+    Mechanism(
+        "longer blocks",
+        "ragwortferry/mesh/quarantine.py",
+        "FIRST_BLOCK_S * BLOCK_FACTOR ** (rounds - 1)",
+        "FIRST_BLOCK_S",
+        f"{QUARANTINE}"
+        "::test_one_trial_follows_the_block_and_a_crash_in_it_lengthens_the_next_block",
+    ),
+    Mechanism(
+        "evidence for new neighbours",
+        "ragwortferry/mesh/relay.py",
+        "            self.on_synchronize(link)\n",
+        "            pass\n",
+        f"{EVIDENCE}::test_new_neighbour_is_told_all_evidence_if_it_understands_it",
+    ),
+    Mechanism(
+        "evidence is passed on",
+        "ragwortferry/mesh/evidence.py",
+        "if source is None or link.host != source.host:",
+        "if source is None:",
+        f"{EVIDENCE}::test_three_crashes_seen_by_three_nodes_are_known_to_all",
+    ),
+    Mechanism(
+        "bounded number of suspects",
+        "ragwortferry/mesh/quarantine.py",
+        "        self._bound()\n",
+        "",
+        f"{QUARANTINE}::test_memory_is_bounded_and_keeps_the_convicted",
+    ),
+    Mechanism(
+        "few samples of service times",
+        "ragwortferry/mesh/balance.py",
+        "weight = counted / (counted + PRIOR_SAMPLES)",
+        "weight = 1.0",
+        f"{DECISIONS}::test_upstream_whose_first_requests_were_slow_gets_its_share",
+    ),
 ]
 
 
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -218,11 +218,16 @@
         key = f"servers/{machine.upstream.name}"
         return await self.store.put(key, machine.upstream.registry_entry(state))
 
-    async def restart_upstream(self, machine: Machine) -> None:
-        """Start a crashed upstream again; its former entry has expired."""
-        await self.store.delete(f"servers/{machine.upstream.name}")
-        name = machine.upstream.name.partition("+")[0]
-        await machine.upstream.restart(f"{name}+{len(machine.upstream.crashes)}")
+    async def restart_upstream(self, machine: Machine, new_id: bool = True) -> None:
+        """Start a crashed upstream again.
+
+        :param new_id: whether it gets a new id; its former entry has then expired.
+        """
+        name = machine.upstream.name
+        if new_id:
+            await self.store.delete(f"servers/{name}")
+            name = f"{name.partition('+')[0]}+{len(machine.upstream.crashes)}"
+        await machine.upstream.restart(name)
         await self.register(machine)
 
     async def put_config(self, config: dict) -> int:
