--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -321,6 +321,8 @@
 
     def _suspect_kind(self, context: RequestContext) -> RequestKind | None:
         """Return the kind of a request if it may crash upstreams, else ``None``."""
+        if not self._quarantine.active:
+            return None
         request = context.request
         return self._quarantine.find(
             self._service,
--- a/ragwortferry/mesh/evidence.py
+++ b/ragwortferry/mesh/evidence.py
@@ -90,20 +90,17 @@
         if not new.crashes and not new.clearances:
             return
         for link in self._relay.neighbour_links():
-            if source is None or link.host != source.host:
-                self._send(link, new)
+            other = source is None or link.host != source.host
+            if other and link.peer_shares_evidence:
+                link.send(new)
         self._log_changes(kind for crash in new.crashes for kind in crash.suspects)
         self._log_changes(item.kind for item in new.clearances)
 
-    def _send(self, link: Link, evidence: Evidence) -> None:
-        if link.peer_shares_evidence:
-            link.send(evidence)
-
     def _synchronize(self, link: Link) -> None:
         """Tell a new neighbour, or a node that has just started, all evidence."""
         evidence = self._quarantine.evidence(self._now())
-        if evidence.crashes or evidence.clearances:
-            self._send(link, evidence)
+        if link.peer_shares_evidence and (evidence.crashes or evidence.clearances):
+            link.send_in_order(evidence)
 
     def _log_changes(self, kinds: Iterable[RequestKind]) -> None:
         """Log which requests are convicted now, and which no longer are."""
--- a/ragwortferry/mesh/quarantine.py
+++ b/ragwortferry/mesh/quarantine.py
@@ -49,7 +49,7 @@
 # Evidence that is older is ignored: it has been forgotten elsewhere.
 MAX_AGE_S = (1 + TRIAL_SPREAD_FRACTION) * MAX_BLOCK_S + CONVICT_TTL_S
 # Largest numbers of suspects, and of crashes that are kept of one.
-MAX_SUSPECTS, MAX_CRASHES = 512, 16
+MAX_SUSPECTS, MAX_CRASHES = 256, 8
 EXPIRY_INTERVAL_S = 1.0
 # Retry-After time while a trial is running elsewhere or is refused.
 TRIAL_RETRY_AFTER_S = 1.0
@@ -113,6 +113,11 @@
         self._trial_until: dict[Content, float] = {}
         self._expired_at = float("-inf")
 
+    @property
+    def active(self) -> bool:
+        """Return whether there is any evidence."""
+        return bool(self._suspects)
+
     @property
     def suspect_count(self) -> int:
         """Return the number of suspects with a crash they are not cleared of."""
