Explain requests from the lines of nodes

What users saw: 'ragwortferry explain ID' ended with KeyError: 'error' on the lines of nodes with an attempt, though docs/OPERATIONS.md tells to use it, and it did not name the error of a refused request. Found while looking up a quarantined request.

Cause: the text was written for the fields of 'run'; nodes log attempts with 'kind' or 'status', and owners log neither digest nor section.

Change: absent fields are left out, the error of a hop is named. The test failed before.

--- a/ragwortferry/record/explain.py
+++ b/ragwortferry/record/explain.py
@@ -224,22 +224,31 @@
 
 
 def _render_hop(hop: Hop) -> list[str]:
-    policy = (
-        f"governed by version {hop.version} (digest {hop.digest[:12]}), "
-        f"section {hop.section}, route {hop.route}"
-        if hop.digest
-        else f"no route matched; version {hop.version} was current"
-    )
+    policy = f"no route matched; version {hop.version} was current"
+    if hop.route or hop.digest:
+        digest = f" (digest {hop.digest[:12]})" if hop.digest else ""
+        section = f"section {hop.section}, " if hop.section else ""
+        policy = (
+            f"governed by version {hop.version}{digest}, {section}route {hop.route}"
+        )
     completeness = "complete" if hop.complete else "truncated"
     lines = [
         f"  {hop.at} {hop.hop} {hop.instance} ({hop.zone}): "
-        f"status {hop.status}, {hop.outcome}, {completeness}",
+        f"status {hop.status}, {', '.join(filter(None, (hop.outcome, hop.error)))}, "
+        f"{completeness}",
         f"    {policy}",
     ]
     for number, attempt in enumerate(hop.attempts, 1):
-        result = attempt["error"] or f"status {attempt['status']}"
-        lines.append(
-            f"    attempt {number} at {attempt['upstream']}: {attempt['outcome']}, "
-            f"{result} after {attempt['ms']} ms"
-        )
+        lines.append(f"    attempt {number} at {_render_attempt(attempt)}")
     return lines
+
+
+def _render_attempt(attempt: dict) -> str:
+    """Return an attempt as text; the lines of nodes have other fields than proxies'."""
+    parts = [f"{attempt['upstream']}: {attempt['outcome']}"]
+    if error := attempt.get("error") or attempt.get("kind"):
+        parts.append(error)
+    elif "status" in attempt:
+        parts.append(f"status {attempt['status']}")
+    duration = f" after {attempt['ms']} ms" if "ms" in attempt else ""
+    return ", ".join(parts) + duration
--- a/ragwortferry/record/tests/test_record.py
+++ b/ragwortferry/record/tests/test_record.py
@@ -52,6 +52,31 @@
     return request_line("owner", "tablero-1", 2 << 16, **fields)
 
 
+def test_lines_of_nodes_are_explained_with_their_errors(tmp_path, capsys):
+    entry = request_line(
+        section="",
+        status=503,
+        outcome="not-run",
+        error="quarantined",
+        attempts=[{"key": "e-1", "upstream": "i-1", "outcome": "ran", "status": 500}],
+    )
+    owner = owner_line(
+        digest="",
+        section="",
+        error="upstream-lost",
+        attempts=[{"key": "e-1", "upstream": "i-1", "outcome": "unknown"}],
+    )
+    log = tmp_path / "log"
+    log.write_text(f"{json.dumps(entry)}\n{json.dumps(owner)}\n")
+    assert run_explain("r", [str(log)], "", False) == 0
+    text = capsys.readouterr().out
+    assert "status 503, not-run, quarantined, complete" in text
+    assert f"governed by version 4 (digest {'d' * 12}), route panels" in text
+    assert "attempt 1 at i-1: ran, status 500" in text
+    assert "governed by version 4, route panels" in text
+    assert "attempt 1 at i-1: unknown\n" in text
+
+
 def test_explanation_combines_entry_and_owner_lines():
     explanation = explain_request(
         "r", [owner_line(), request_line(), request_line(request_id="x")]
