Take the end of an upstream that is no longer registered for planned

Cause: some upstreams never report that they drain; their entry is removed, they serve on and exit. Requests at work then were suspects of a crash. And the failure of a lost attempt was held back as long as a new connection took, up to 1 s.

Change: an upstream without an entry has not crashed (the entry of one that did stays for seconds); the failure waits 0.1 s at most.

Result: test_end_of_an_upstream_that_is_leaving_is_no_crash[removed] failed before.

--- a/ragwortferry/mesh/guard.py
+++ b/ragwortferry/mesh/guard.py
@@ -18,6 +18,9 @@
 
 # Time in which the losses of all connections arrive after a crash.
 SETTLE_S = 0.01
+# Longest time for which the failure of a lost attempt is held back meanwhile; a new
+# connection may take seconds if the upstream's queue of connections is full.
+MAX_SEARCH_WAIT_S = 0.1
 # Retry-After time of a suspect that does not run beside another one.
 ISOLATION_RETRY_AFTER_S = 0.1
 # Maximum number of requests named in the log line of a crash.
@@ -29,7 +32,7 @@
 
     The upstream has crashed if a response was lost, no connection to it is left, and a
     new one is refused. A single lost connection, a silent upstream and one that is
-    leaving are no crashes.
+    leaving or no longer registered are no crashes.
 
     :param pool: connections to the upstream.
     :param on_crash: called when the upstream is found to have crashed.
@@ -124,12 +127,12 @@
             self._search.add_done_callback(self._on_search_done)
 
     async def wait_for_search(self) -> None:
-        """Wait until it is known whether the upstream has crashed.
+        """Wait for a while until it is known whether the upstream has crashed.
 
         The sender of a lost attempt then decides on a retry with that knowledge.
         """
         if self._search is not None:
-            await asyncio.wait([self._search])
+            await asyncio.wait([self._search], timeout=MAX_SEARCH_WAIT_S)
 
     def _on_search_done(self, task: asyncio.Task) -> None:
         self._search = None
@@ -145,9 +148,7 @@
         upstream = lost[-1].upstream if lost else ""
         suspects = self._monitor.end_incarnation(upstream, now)
         self._on_crash()
-        known = self._state.upstreams.get(upstream)
-        leaving = known is not None and known.draining
-        if not lost or leaving or self._state.is_leaving(upstream):
+        if not lost or self._is_leaving(upstream):
             return
         self.crashes += 1
         self._log.event(
@@ -158,3 +159,12 @@
             suspects=len(suspects),
             requests=[item.request_id for item in lost[-MAX_LOGGED_REQUESTS:]],
         )
+
+    def _is_leaving(self, upstream: str) -> bool:
+        """Return whether the end of an upstream was planned.
+
+        The entry of one that has crashed stays in the registry for some seconds.
+        """
+        known = self._state.upstreams.get(upstream)
+        removed = known is None or known.draining
+        return removed or self._state.is_leaving(upstream)
--- a/ragwortferry/mesh/tests/test_crashes.py
+++ b/ragwortferry/mesh/tests/test_crashes.py
@@ -71,12 +71,12 @@
 def run_with_owner():
     """Run a scenario with an owner and its upstream."""
 
-    def run(scenario, draining=False):
+    def run(scenario):
         async def main():
             server = Server()
             await server.start()
             state = MeshState(decode_document, null_log())
-            upstream = an_upstream("i-1", address=server.address, draining=False)
+            upstream = an_upstream("i-1", address=server.address)
             state.apply_registry(RegistryChange(0, 1, [upstream]), "store")
             owner = an_owner(state, server.address, FakeRecorder())
             async with asyncio.timeout(WAIT_S):
@@ -157,11 +157,18 @@
     run_with_owner(scenario)
 
 
-def test_end_of_an_upstream_that_is_leaving_is_no_crash(run_with_owner):
+@pytest.mark.parametrize("sign", ["response", "draining", "removed"])
+def test_end_of_an_upstream_that_is_leaving_is_no_crash(run_with_owner, sign):
     async def scenario(owner, server, state):
         reply = _submit(owner, 0)
         await server.wait_for(1)
-        state.mark_leaving("i-1", 0, HOST)
+        if sign == "response":
+            state.mark_leaving("i-1", 0, HOST)
+        elif sign == "removed":
+            state.apply_registry(RegistryChange(1, 2, [], {"i-1": 2}), "store")
+        else:
+            item = an_upstream("i-1", address=server.address, draining=True, revision=2)
+            state.apply_registry(RegistryChange(1, 2, [item]), "store")
         server.crash()
         await reply.wait(1)
         assert owner.crashes == 0 and not _suspects(owner)
