Suspect no requests that were sent while the upstream was down

Three such losses would have convicted an innocent request.

Change: after a crash, a request lost within 20 ms is no suspect until something shows that the upstream is back; what was sent before the crash belongs to it.

--- a/ragwortferry/mesh/guard.py
+++ b/ragwortferry/mesh/guard.py
@@ -18,6 +18,8 @@
 
 # Time in which the losses of all connections arrive after a crash.
 SETTLE_S = 0.01
+# Time for which a connection stays open at least if the upstream itself accepted it.
+MIN_OPEN_S = 0.02
 # Longest time for which the failure of a lost attempt is held back meanwhile; a new
 # connection may take seconds if the upstream's queue of connections is full.
 MAX_SEARCH_WAIT_S = 0.1
@@ -55,6 +57,9 @@
         self._log = log
         self._monitor = CrashMonitor()
         self._search: asyncio.Task | None = None
+        # Time of the last crash, and whether nothing shows that the upstream is back.
+        self._crashed_at = float("-inf")
+        self._down = False
         self.crashes = 0
         self.refused = 0
 
@@ -105,17 +110,25 @@
 
     def record_completed(self, attempt: Attempt) -> None:
         """Record that the upstream has run an attempt to its end."""
+        self._down = False
         self._monitor.record_completed(attempt)
         kind = self._find(attempt)
         if kind is not None:
             self._evidence.report_completed(kind)
 
-    def record_lost(self, attempt: Attempt, broken: bool) -> None:
+    def record_lost(self, attempt_state: AttemptState, broken: bool) -> None:
         """Record that an attempt was sent to the upstream and has no response.
 
+        One that is lost at once while the upstream is down has not reached it: a proxy
+        may accept connections for it.
+
         :param broken: whether its connection broke, which may be due to a crash.
         """
-        self._monitor.record_lost(attempt, asyncio.get_running_loop().time())
+        now, sent_at = asyncio.get_running_loop().time(), attempt_state.sent_at
+        if sent_at <= self._crashed_at or (self._down and now - sent_at < MIN_OPEN_S):
+            return
+        self._down = False
+        self._monitor.record_lost(attempt_state.attempt, now)
         if broken:
             self.search()
 
@@ -147,6 +160,7 @@
         lost = self._monitor.lost(now)
         upstream = lost[-1].upstream if lost else ""
         suspects = self._monitor.end_incarnation(upstream, now)
+        self._crashed_at, self._down = now, True
         self._on_crash()
         if not lost or self._is_leaving(upstream):
             return
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -485,7 +485,7 @@
             if response.ended and response.ran:
                 self._guard.record_completed(attempt)
             elif attempt_state.sent and not response.ended:
-                self._guard.record_lost(attempt, response.broken)
+                self._guard.record_lost(attempt_state, response.broken)
         if response.broken:
             await self._guard.wait_for_search()
         self._record(attempt_state, failure, response.status, response.size)
--- a/ragwortferry/mesh/tests/test_crashes.py
+++ b/ragwortferry/mesh/tests/test_crashes.py
@@ -176,6 +176,32 @@
     run_with_owner(scenario)
 
 
+def test_requests_sent_to_a_proxy_while_the_upstream_is_down_are_no_suspects(
+    run_with_owner,
+):
+    async def scenario(owner, server, state):
+        reply = _submit(owner, 0, "/panels/bad")
+        await server.wait_for(1)
+        host, port = server.address.host, server.address.port
+        server.crash()
+        proxy = await asyncio.start_server(
+            lambda reader, writer: writer.transport.abort(), host, port
+        )
+        await reply.wait(1)
+        assert owner.crashes == 1
+        lost = 0
+        for number in range(1, 9):
+            reply = _submit(owner, number, "/panels/good")
+            await reply.wait(1)
+            lost += reply.failure.kind is ErrorKind.UPSTREAM_LOST
+            await asyncio.sleep(0.1)
+        proxy.close()
+        assert lost and owner.crashes == 1
+        assert _suspects(owner) == {kind_of(an_attempt(target="/panels/bad"))}
+
+    run_with_owner(scenario)
+
+
 def test_upstream_that_a_proxy_hides_is_found_to_be_gone():
     async def main():
         async def close_at_once(reader, writer):
