End the departure of an upstream of the soak when it crashes

The trace: i-7 said that it leaves, crashed, and was registered again with a later start (born 3000 at 8.20 s); the nodes sent to the new process, as they must, and marked it again at 8.22 s when it said so too. The stand-in had kept the flag of the process that was gone.

Change: a crash ends the departure of that process; the check is as strict as before.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -33,6 +33,7 @@
 from ragwortferry.utils.registry import Registry
 from standins.mesh import READY_PORT, Machine, Mesh
 from standins.network import Fault, Network
+from standins.upstream import UpstreamStandin
 
 ZONES = ("a", "b", "c")
 # Every fourth machine runs the second service.
@@ -213,7 +214,9 @@
         return episode
 
     def end_episode(self, episode: Episode) -> None:
-        """End an episode of an upstream."""
+        """End an episode of an upstream, unless it has ended."""
+        if episode.ended_at != float("inf"):
+            return
         upstream = episode.upstream
         episode.stated_at, episode.ended_at = upstream.stated_at, time.monotonic()
         upstream.limit, upstream.leaving = "", False
@@ -283,8 +286,15 @@
                         self._load_rng.uniform(*DOWN_RANGE_S),
                     )
                     if time.monotonic() - upstream.crashes[-1][0] >= down_s:
+                        self._end_departure(upstream)
                         await self.mesh.restart_upstream(machine, new_id=False)
 
+    def _end_departure(self, upstream: UpstreamStandin) -> None:
+        """End the episode of an upstream that was leaving when it crashed."""
+        for episode in self.episodes:
+            if episode.upstream is upstream and episode.limit_per_s is None:
+                self.end_episode(episode)
+
     async def _call(
         self,
         session: aiohttp.ClientSession,
