Let new suspects take the places of old ones

Cause: with 256 suspects of two crashes, a new one had the least evidence and was forgotten at once, so a request that came later could not be convicted; and the set of logged convictions grew without bound, as expired ones stayed in it.

Change: the oldest go first, convicted requests two minutes later; whether a conviction was logged is part of the evidence and expires with it.

Result: test_new_suspects_take_the_places_of_old_ones and test_conviction_is_logged_again_after_the_evidence_has_expired are new; the first failed with the old order, the second was not run on the old code.

--- a/ragwortferry/mesh/evidence.py
+++ b/ragwortferry/mesh/evidence.py
@@ -47,7 +47,6 @@
         self._sequence = itertools.count(1)
         # Requests whose clearance is about to be told.
         self._clearing: set[RequestKind] = set()
-        self._convicted: set[RequestKind] = set()
         relay.on_synchronize = self._synchronize
 
     def report_crash(self, suspects: list[RequestKind]) -> str:
@@ -105,21 +104,16 @@
     def _log_changes(self, kinds: Iterable[RequestKind]) -> None:
         """Log which requests are convicted now, and which no longer are."""
         for kind in set(kinds):
-            convicted = self._quarantine.is_convicted(kind)
-            if convicted == (kind in self._convicted):
-                continue
+            convicted = self._quarantine.take_change(kind)
             name = f"{kind.target.hex()}-{kind.body.hex()}-{kind.sender.hex()}"
             if convicted:
-                self._convicted.add(kind)
-                clearance = self._quarantine.clearance(kind)
                 self._log.event(
                     "quarantined",
                     "request is refused: upstreams crash under it",
                     kind=name,
-                    crashes=clearance.crashes,
+                    crashes=self._quarantine.clearance(kind).crashes,
                 )
-            else:
-                self._convicted.discard(kind)
+            elif convicted is not None:
                 self._log.event(
                     "quarantine-lifted", "request has run to its end", kind=name
                 )
--- a/ragwortferry/mesh/quarantine.py
+++ b/ragwortferry/mesh/quarantine.py
@@ -15,6 +15,7 @@
 
 __all__ = ["Quarantine", "Verdict"]
 
+import heapq
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -50,6 +51,9 @@
 MAX_AGE_S = (1 + TRIAL_SPREAD_FRACTION) * MAX_BLOCK_S + CONVICT_TTL_S
 # Largest numbers of suspects, and of crashes that are kept of one.
 MAX_SUSPECTS, MAX_CRASHES = 256, 8
+# Time for which a convicted request outlasts a suspect that is seen later, if there are
+# too many.
+CONVICT_BONUS_S = 120.0
 EXPIRY_INTERVAL_S = 1.0
 # Retry-After time while a trial is running elsewhere or is refused.
 TRIAL_RETRY_AFTER_S = 1.0
@@ -87,11 +91,13 @@
     :param crashes: time of each crash in which it was at work, by the crash's id.
     :param cleared: ids of the crashes that it has been cleared of.
     :param seen_at: time of the last evidence for or against it.
+    :param convicted: whether it was convicted when that was last asked for.
     """
 
     crashes: OrderedDict[str, float] = field(default_factory=OrderedDict)
     cleared: OrderedDict[str, None] = field(default_factory=OrderedDict)
     seen_at: float = 0.0
+    convicted: bool = False
 
 
 class Quarantine:
@@ -179,6 +185,15 @@
             suspect.crashes.keys() - others.keys()
         )
 
+    def take_change(self, kind: RequestKind) -> bool | None:
+        """Return whether a request is convicted, ``None`` without a change since."""
+        suspect = self._suspects.get(kind)
+        convicted = self.is_convicted(kind)
+        if suspect is None or convicted == suspect.convicted:
+            return None
+        suspect.convicted = convicted
+        return convicted
+
     def is_accused(self, kind: RequestKind) -> bool:
         """Return whether a request equals a convicted one, whoever sent that.
 
@@ -308,16 +323,16 @@
                 del self._trial_until[content]
 
     def _bound(self) -> None:
-        """Forget the suspects with the least and oldest evidence if there are many."""
+        """Forget the suspects with the oldest evidence if there are many."""
         excess = len(self._suspects) - MAX_SUSPECTS
         if excess <= 0:
             return
 
-        def weight(kind: RequestKind) -> tuple[int, float]:
-            suspect = self._suspects[kind]
-            return len(suspect.crashes), suspect.seen_at
+        def value(kind: RequestKind) -> float:
+            bonus_s = CONVICT_BONUS_S if self.is_convicted(kind) else 0.0
+            return self._suspects[kind].seen_at + bonus_s
 
-        for kind in sorted(self._suspects, key=weight)[:excess]:
+        for kind in heapq.nsmallest(excess, self._suspects, key=value):
             self._forget(kind)
 
     def _forget(self, kind: RequestKind) -> None:
--- a/ragwortferry/mesh/tests/test_evidence.py
+++ b/ragwortferry/mesh/tests/test_evidence.py
@@ -168,6 +168,18 @@
     assert all(node.quarantine.is_convicted(_kind()) for node in nodes)
 
 
+@in_loop
+async def test_conviction_is_logged_again_after_the_evidence_has_expired():
+    node, logged = FakeNode("10.0.0.1", "a"), []
+    node.evidence._log.event = lambda name, message, **fields: logged.append(name)
+    for now in (0.0, 10_000.0):
+        node.evidence._now = lambda now=now: now
+        node.quarantine.check(_kind(), now)
+        for _ in range(4):
+            node.evidence.report_crash([_kind()])
+    assert logged == ["quarantined", "quarantined"]
+
+
 @in_loop
 async def test_all_evidence_is_bounded():
     node = FakeNode("10.0.0.1", "a")
--- a/ragwortferry/mesh/tests/test_quarantine.py
+++ b/ragwortferry/mesh/tests/test_quarantine.py
@@ -96,6 +96,17 @@
     assert _ruling(second, _kind(), 100.0 + FIRST_BLOCK_END_S) is Ruling.TRIAL
 
 
+def test_new_suspects_take_the_places_of_old_ones():
+    quarantine = Quarantine("n")
+    for number in range(MAX_SUSPECTS):
+        for crash in range(2):
+            kind = _kind(f"/panels/{number}")
+            quarantine.record(_crash(f"x{number}-{crash}", kind), 0.0)
+    for crash in range(3):
+        quarantine.record(_crash(f"y{crash}", _kind()), 1.0 + crash)
+    assert _ruling(quarantine, _kind(), 3.0) is Ruling.REFUSED
+
+
 @pytest.mark.parametrize(
     "other",
     [
