Count a crash although the registry has just dropped the upstream

Cause: with the end of an upstream without an entry was always planned. A registry that drops the entry at the moment of the crash would hide the crash.

Result: test_crash_counts_if_the_registry_lists_the_upstream_no_more_at_that_moment fails with the former condition; test_crashes.py passes.

--- a/ragwortferry/mesh/guard.py
+++ b/ragwortferry/mesh/guard.py
@@ -14,7 +14,7 @@
 from ragwortferry.mesh.fingerprint import RequestKind
 from ragwortferry.mesh.quarantine import TRIAL_RETRY_AFTER_S, Quarantine, Ruling
 from ragwortferry.mesh.response import AttemptState, not_run
-from ragwortferry.mesh.state import MeshState
+from ragwortferry.mesh.state import MeshState, RegistryChange
 
 # Time in which the losses of all connections arrive after a crash.
 SETTLE_S = 0.01
@@ -23,6 +23,10 @@
 # Longest time for which the failure of a lost attempt is held back meanwhile; a new
 # connection may take seconds if the upstream's queue of connections is full.
 MAX_SEARCH_WAIT_S = 0.1
+# Time after the removal of its entry from which the end of an upstream is planned.
+MIN_REMOVED_S = 1.0
+# Maximum number of removals that are kept.
+MAX_REMOVED = 64
 # Retry-After time of a suspect that does not run beside another one.
 ISOLATION_RETRY_AFTER_S = 0.1
 # Maximum number of requests named in the log line of a crash.
@@ -34,7 +38,7 @@
 
     The upstream has crashed if a response was lost, no connection to it is left, and a
     new one is refused. A single lost connection, a silent upstream and one that is
-    leaving or no longer registered are no crashes.
+    leaving or was removed from the registry before are no crashes.
 
     :param pool: connections to the upstream.
     :param on_crash: called when the upstream is found to have crashed.
@@ -60,6 +64,9 @@
         # Time of the last crash, and whether nothing shows that the upstream is back.
         self._crashed_at = float("-inf")
         self._down = False
+        # Time at which upstreams were removed from the registry, by their ids.
+        self._removed_at: dict[str, float] = {}
+        state.on_registry.append(self._on_registry)
         self.crashes = 0
         self.refused = 0
 
@@ -177,8 +184,17 @@
     def _is_leaving(self, upstream: str) -> bool:
         """Return whether the end of an upstream was planned.
 
-        The entry of one that has crashed stays in the registry for some seconds.
+        One that leaves without draining serves on after its entry has been removed.
         """
         known = self._state.upstreams.get(upstream)
-        removed = known is None or known.draining
-        return removed or self._state.is_leaving(upstream)
+        if self._state.is_leaving(upstream) or (known is not None and known.draining):
+            return True
+        removed_at = self._removed_at.get(upstream, self._crashed_at)
+        return self._crashed_at - removed_at > MIN_REMOVED_S
+
+    def _on_registry(self, change: RegistryChange) -> None:
+        """Record when upstreams are removed from the registry."""
+        now = asyncio.get_running_loop().time()
+        self._removed_at.update(dict.fromkeys(change.removed, now))
+        while len(self._removed_at) > MAX_REMOVED:
+            del self._removed_at[next(iter(self._removed_at))]
--- a/ragwortferry/mesh/tests/test_crashes.py
+++ b/ragwortferry/mesh/tests/test_crashes.py
@@ -9,6 +9,7 @@
 from ragwortferry.mesh.attempt import Reply
 from ragwortferry.mesh.crashes import LOSS_WINDOW_S, CrashMonitor, kind_of
 from ragwortferry.mesh.frames import CrashReport, Evidence
+from ragwortferry.mesh.guard import MIN_REMOVED_S
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.config import decode_document
 from ragwortferry.tests.mesh_builders import (
@@ -166,6 +167,7 @@
             state.mark_leaving("i-1", 0, HOST)
         elif sign == "removed":
             state.apply_registry(RegistryChange(1, 2, [], {"i-1": 2}), "store")
+            await asyncio.sleep(MIN_REMOVED_S + 0.1)
         else:
             item = an_upstream("i-1", address=server.address, draining=True, revision=2)
             state.apply_registry(RegistryChange(1, 2, [item]), "store")
@@ -176,6 +178,20 @@
     run_with_owner(scenario)
 
 
+def test_crash_counts_if_the_registry_lists_the_upstream_no_more_at_that_moment(
+    run_with_owner,
+):
+    async def scenario(owner, server, state):
+        reply = _submit(owner, 0)
+        await server.wait_for(1)
+        state.apply_registry(RegistryChange(1, 2, [], {"i-1": 2}), "store")
+        server.crash()
+        await reply.wait(1)
+        assert owner.crashes == 1 and len(_suspects(owner)) == 1
+
+    run_with_owner(scenario)
+
+
 def test_requests_sent_to_a_proxy_while_the_upstream_is_down_are_no_suspects(
     run_with_owner,
 ):
