Count rounds of crashes from the conviction on, and pass on no crash that is not kept

Change: only gaps after the third crash lengthen the block; the oldest crash is dropped, and is not new.

Result: the two new tests of test_quarantine.py failed before.

--- a/ragwortferry/mesh/quarantine.py
+++ b/ragwortferry/mesh/quarantine.py
@@ -20,6 +20,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import pairwise
 
 from ragwortferry.http1.messages import Headers
 from ragwortferry.mesh.fingerprint import (
@@ -94,7 +95,7 @@
     :param convicted: whether it was convicted when that was last asked for.
     """
 
-    crashes: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    crashes: dict[str, float] = field(default_factory=dict)
     cleared: OrderedDict[str, None] = field(default_factory=OrderedDict)
     seen_at: float = 0.0
     convicted: bool = False
@@ -265,9 +266,9 @@
             return False
         suspect.crashes[crash] = at
         suspect.seen_at = max(suspect.seen_at, at)
-        while len(suspect.crashes) > MAX_CRASHES:
-            suspect.crashes.popitem(last=False)
-        return True
+        if len(suspect.crashes) > MAX_CRASHES:
+            del suspect.crashes[min(suspect.crashes, key=suspect.crashes.get)]
+        return crash in suspect.crashes
 
     def _clear(
         self, kind: RequestKind, crashes: Iterable[str], now: float
@@ -298,9 +299,9 @@
         """Return when this node may try a convicted request again."""
         crashes = {**self._crashes_of_others(kind), **self._suspects[kind].crashes}
         times = sorted(crashes.values())
+        since_conviction = times[CRASHES_TO_CONVICT - 1 :]
         rounds = 1 + sum(
-            later - earlier > ROUND_S
-            for earlier, later in zip(times, times[1:], strict=False)
+            later - earlier > ROUND_S for earlier, later in pairwise(since_conviction)
         )
         block_s = min(MAX_BLOCK_S, FIRST_BLOCK_S * BLOCK_FACTOR ** (rounds - 1))
         rank, _ = rank_key(kind.target.hex(), self._node)
--- a/ragwortferry/mesh/tests/test_quarantine.py
+++ b/ragwortferry/mesh/tests/test_quarantine.py
@@ -169,6 +169,22 @@
     assert blocks[-1] <= MAX_BLOCK_S * (1 + TRIAL_SPREAD_FRACTION)
 
 
+def test_first_block_does_not_depend_on_the_time_between_the_first_crashes():
+    quarantine, kind = Quarantine("n"), _kind()
+    for number in range(3):
+        quarantine.record(_crash(f"c{number}", kind), 20.0 * number)
+    assert quarantine.check(kind, 40.0).retry_after_s <= FIRST_BLOCK_END_S
+
+
+def test_crash_that_is_too_old_to_be_kept_is_not_passed_on():
+    quarantine, kind = Quarantine("n"), _kind()
+    for number in range(MAX_CRASHES):
+        quarantine.record(_crash(f"c{number}", kind), 50.0 + number)
+    for _ in range(2):
+        new = quarantine.record(_crash("old", kind, age_s=60.0), 70.0)
+        assert not new.crashes
+
+
 def test_request_is_served_again_after_a_trial_that_ended_well():
     quarantine, kind = _convicted(), _kind()
     now = FIRST_BLOCK_END_S
