--- a/ragwortferry/mesh/tests/test_crashing_requests.py
+++ b/ragwortferry/mesh/tests/test_crashing_requests.py
@@ -169,10 +169,8 @@
         for upstream in _upstreams(mesh):
             upstream.service_time_s = 0.1
         _crash_on(mesh, lambda method, path, body, caller: path.startswith(BAD_PATH))
-        # Three kinds of bad requests.
-        bad = Callers(
-            mesh, mesh.machines[:6], lambda n: f"{BAD_PATH}-{n // 12}", prefix="bad-"
-        )
+        # Five kinds of bad requests, each of which crashes three upstreams.
+        bad = Callers(mesh, path=lambda n: f"{BAD_PATH}-{n // 8}", prefix="bad-")
         popular = Callers(mesh, prefix="popular-")
         async with _restarting_upstreams(mesh):
             await asyncio.gather(bad.run(2, 18), popular.run(40, 18))
