--- a/ragwortferry/exceptions.py
+++ b/ragwortferry/exceptions.py
@@ -40,6 +40,7 @@
     NO_UPSTREAM = "no-upstream"  # no upstream can be tried
     OVERLOADED = "overloaded"  # the owner's queue is full, or too long for the deadline
     LEAVING = "leaving"  # the instance is draining
+    EVACUATED = "evacuated"  # the operator has evacuated the upstream's zone
     QUARANTINED = "quarantined"  # upstreams have crashed under this request
     SHED = "shed"  # the target itself refused the request
     CONNECT_FAILED = "connect-failed"  # nothing of the request was sent
@@ -84,6 +85,9 @@
     ErrorKind.LEAVING: ErrorResponse(
         503, Outcome.NOT_RUN, retry_after=1, retryable=True
     ),
+    ErrorKind.EVACUATED: ErrorResponse(
+        503, Outcome.NOT_RUN, retry_after=1, retryable=True
+    ),
     ErrorKind.QUARANTINED: ErrorResponse(503, Outcome.NOT_RUN, retry_after=5),
     ErrorKind.SHED: ErrorResponse(503, Outcome.NOT_RUN, retry_after=1, retryable=True),
     ErrorKind.CONNECT_FAILED: ErrorResponse(
--- a/ragwortferry/mesh/balance.py
+++ b/ragwortferry/mesh/balance.py
@@ -5,8 +5,9 @@
 sent since a report to the reported load, so that a burst of its own does not go to a
 single upstream. Upstreams of the own zone are preferred unless they are much slower.
 
-An upstream that names a limit gets from each node its part of the limit as long as
-others have room. Beyond it, the nodes compete for what is left, and the owner decides.
+An upstream that names a limit, or is cold and tolerates few requests, gets from each
+node its part of that rate as long as others have room. Beyond it, the nodes compete for
+what is left, and the owner decides.
 """
 
 __all__ = ["Balancer", "UpstreamStats"]
@@ -19,7 +20,7 @@
 
 from ragwortferry.mesh.admission import max_wait
 from ragwortferry.mesh.frames import Advertisement, Load
-from ragwortferry.mesh.model import Upstream
+from ragwortferry.mesh.model import Service, Upstream
 from ragwortferry.mesh.ratelimit import MIN_RATE_PER_S
 from ragwortferry.utils.egress import BYTES_PER_MBIT, MAX_UNPACED_BYTES
 
@@ -59,6 +60,8 @@
 # Range of the random factor on the interval between the requests of a node to an
 # upstream with a limit, so that the nodes do not send at the same time.
 SHARE_JITTER = (0.75, 1.25)
+# Number of nodes assumed to share the rate of a cold upstream until its owner tells.
+ASSUMED_SHARERS = 24
 # Largest interval, so that the end of a very low limit is noticed.
 MAX_SHARE_INTERVAL_S = 3.0
 
@@ -73,8 +76,8 @@
     :param in_flight_base: the same at the time of the last report.
     :param failures: recent failures, which decay from ``failed_at`` on.
     :param ejected_until: time until which it is chosen only if all others are ejected.
-    :param known_since: time at which this node learned of the upstream.
-    :param cold_s: how long it was expected to be cold (slow after its start) then.
+    :param cold_until: time until which the upstream is cold by its registry entry or
+        the last report, whichever came last.
     :param next_share_at: time at which this node has its next part of a limit.
     """
 
@@ -85,11 +88,27 @@
     failures: float = 0.0
     failed_at: float = -1e9
     ejected_until: float = -1e9
-    known_since: float = 0.0
-    cold_s: float = 0.0
+    cold_until: float = -1e9
     next_share_at: float = -1e9
 
 
+@dataclass(frozen=True, slots=True)
+class RateShare:
+    """A rate that all nodes together may use at an upstream.
+
+    :param sharers: number of nodes that share it.
+    """
+
+    rate_per_s: float
+    sharers: int
+
+    @property
+    def interval_s(self) -> float:
+        """Return the mean interval between the requests of one node, in seconds."""
+        rate = max(MIN_RATE_PER_S, self.rate_per_s)
+        return min(MAX_SHARE_INTERVAL_S, self.sharers / rate)
+
+
 class Balancer:
     """Tracks the load of upstreams and picks one for each request.
 
@@ -107,25 +126,66 @@
         self._stats: dict[str, UpstreamStats] = {}
         # Ids of the upstreams whose last report names a limit.
         self._limited: set[str] = set()
+        # Ids of the upstreams that were cold when last looked at, of services that
+        # bound the requests to cold upstreams.
+        self._cold: set[str] = set()
+        # Requests per second that a cold upstream of each service tolerates.
+        self._cold_rates: dict[str, float] = {}
 
     @property
     def limited_count(self) -> int:
         """Return the number of upstreams known to have a limit."""
         return len(self._limited)
 
+    @property
+    def cold_count(self) -> int:
+        """Return the number of cold upstreams whose rate is bounded."""
+        return len(self._cold)
+
+    def set_services(self, services: Iterable[Service]) -> None:
+        """Take over how many requests the cold upstreams of each service tolerate."""
+        self._cold_rates = {
+            item.name: item.cold_per_s for item in services if item.cold_per_s > 0
+        }
+
     def stats(self, upstream: Upstream, now: float) -> UpstreamStats:
         """Return the statistics of an upstream; start new ones if it is unknown."""
         stats = self._stats.get(upstream.id)
         if stats is None:
-            stats = UpstreamStats(known_since=now, cold_s=upstream.cold_s)
-            self._stats[upstream.id] = stats
+            stats = self._stats[upstream.id] = UpstreamStats()
+            self._set_cold(upstream, stats, upstream.cold_s, now)
         return stats
 
+    def record_entry(self, upstream: Upstream, now: float) -> None:
+        """Record a new registry entry of an upstream that is already known."""
+        stats = self._stats.get(upstream.id)
+        if stats is not None:
+            self._set_cold(upstream, stats, upstream.cold_s, now)
+
+    def _set_cold(
+        self, upstream: Upstream, stats: UpstreamStats, cold_s: float, now: float
+    ) -> None:
+        """Record for how long an upstream stays cold from now on.
+
+        The first request of each node to an upstream that becomes cold waits for a
+        random part of its interval: else all nodes would send one at once.
+        """
+        was_cold = upstream.id in self._cold
+        stats.cold_until = now + cold_s
+        if cold_s <= 0 or upstream.service not in self._cold_rates:
+            self._cold.discard(upstream.id)
+            return
+        self._cold.add(upstream.id)
+        if not was_cold:
+            share = self._rate_share(upstream, now)
+            stats.next_share_at = now + self._rng.uniform(0, share.interval_s)
+
     def forget(self, ids: Iterable[str]) -> None:
         """Drop the statistics of removed upstreams."""
         for name in ids:
             self._stats.pop(name, None)
             self._limited.discard(name)
+            self._cold.discard(name)
 
     def advertisement(self, upstream: Upstream, now: float) -> Advertisement | None:
         """Return the limit that an upstream names, as far as this node knows."""
@@ -147,6 +207,26 @@
         age_ms = advertised.age_ms + (now - stats.reported_at) * 1000
         return msgspec.structs.replace(advertised, age_ms=round(age_ms))
 
+    def _rate_share(self, upstream: Upstream, now: float) -> RateShare | None:
+        """Return the bounded rate of an upstream, ``None`` if it has none.
+
+        It is the lower one of the limit that it names and of what it tolerates cold.
+        """
+        shares = []
+        if (advertised := self.advertisement(upstream, now)) is not None:
+            shares.append(RateShare(advertised.limit_per_s, advertised.sharers))
+        if upstream.id in self._cold:
+            stats = self._stats[upstream.id]
+            if now >= stats.cold_until:
+                self._cold.discard(upstream.id)
+            elif stats.load is not None and stats.load.warmup is not None:
+                warmup = stats.load.warmup
+                shares.append(RateShare(warmup.rate_per_s, warmup.sharers))
+            else:
+                rate = self._cold_rates.get(upstream.service, 0.0)
+                shares.append(RateShare(rate, ASSUMED_SHARERS))
+        return min(shares, key=lambda item: item.rate_per_s, default=None)
+
     def limit_delay(
         self, upstreams: Iterable[Upstream], now: float, priority: int
     ) -> float | None:
@@ -157,7 +237,7 @@
         delays = [
             self.estimate(item, now, priority=priority)[0]
             for item in upstreams
-            if self.advertisement(item, now) is not None
+            if self._rate_share(item, now) is not None
         ]
         return min(delays, default=None)
 
@@ -192,11 +272,12 @@
             delay, service_s = self.estimate(item, now, mean_service_s, priority)
             return delay <= max_wait(objective_left_s, deadline_left_s, service_s)
 
-        if self._limited:
+        bounded = bool(self._limited or self._cold)
+        if bounded:
             candidates = [
                 item
                 for item in candidates
-                if self.advertisement(item, now) is None or has_room(item)
+                if self._rate_share(item, now) is None or has_room(item)
             ]
         if len(candidates) > MAX_COMPARED:
             candidates = self._sample(candidates)
@@ -215,7 +296,7 @@
 
         pool = available or candidates
         within_share = pool
-        if self._limited:
+        if bounded:
             within_share = [item for item in pool if self._within_share(item, now)]
         best = cheapest(within_share)
         if len(within_share) < len(pool) and (best is None or not has_room(best)):
@@ -223,8 +304,8 @@
         return best
 
     def _within_share(self, upstream: Upstream, now: float) -> bool:
-        """Return whether this node may use its part of an upstream's limit, if any."""
-        if self.advertisement(upstream, now) is None:
+        """Return whether this node may use its part of a bounded rate, if any."""
+        if self._rate_share(upstream, now) is None:
             return True
         return now >= self.stats(upstream, now).next_share_at
 
@@ -276,10 +357,10 @@
         """
         stats = self.stats(upstream, now)
         load = stats.load if now - stats.reported_at < REPORT_TTL_S else None
-        limited = load is not None and upstream.id in self._limited
+        share = self._rate_share(upstream, now)
         slots = load.slots if load else upstream.slots
         service_s = _expected_service_s(load, mean_service_s)
-        if now - stats.known_since < stats.cold_s:
+        if now < stats.cold_until:
             service_s = max(service_s, COLD_FACTOR * (mean_service_s or service_s))
         at_report = load.running + load.queued if load else 0
         since_report = max(0, stats.in_flight - stats.in_flight_base)
@@ -290,8 +371,8 @@
             delay = reported + min(since_report, excess) * service_s / max(1, slots)
         else:
             delay = excess * service_s / max(1, slots)
-        if limited:
-            rate = max(MIN_RATE_PER_S, load.advertised.limit_per_s)
+        if share is not None:
+            rate = max(MIN_RATE_PER_S, share.rate_per_s)
             delay = max(0.0, delay - (now - stats.reported_at)) + since_report / rate
         utilization = min(1.0, occupied / max(1, slots))
         return delay, service_s * (1 + FULL_SLOWDOWN_FRACTION * utilization)
@@ -309,11 +390,10 @@
         """Record that a request is sent to an upstream."""
         stats = self.stats(upstream, now)
         stats.in_flight += 1
-        advertised = self.advertisement(upstream, now)
-        if advertised is not None:
-            rate = max(MIN_RATE_PER_S, advertised.limit_per_s)
-            interval_s = min(MAX_SHARE_INTERVAL_S, advertised.sharers / rate)
-            stats.next_share_at = now + interval_s * self._rng.uniform(*SHARE_JITTER)
+        share = self._rate_share(upstream, now)
+        if share is not None:
+            jitter = self._rng.uniform(*SHARE_JITTER)
+            stats.next_share_at = now + share.interval_s * jitter
 
     def record_end(self, upstream: Upstream, now: float) -> None:
         """Record that a request has ended, with or without a response."""
@@ -333,6 +413,10 @@
             self._limited.add(upstream.id)
         else:
             self._limited.discard(upstream.id)
+        if load.warmup is not None:
+            self._set_cold(upstream, stats, load.warmup.remaining_ms / 1000, now)
+        elif upstream.id in self._cold:
+            self._set_cold(upstream, stats, 0.0, now)
         if not load.accepting:
             stats.ejected_until = max(stats.ejected_until, now + 1.0)
 
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -27,7 +27,7 @@
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.response import AttemptState
 from ragwortferry.mesh.splits import TrafficSplitter
-from ragwortferry.mesh.state import MeshState
+from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
 from ragwortferry.platform.settings import Bounds
 from ragwortferry.utils.egress import EgressPacer
@@ -64,11 +64,19 @@
 # Maximum number of limits named in the log line of a refusal.
 MAX_LOGGED_LIMITS = 8
 
+# Retry-After time if all upstreams of a service are in evacuated zones: the operator
+# takes that back after seconds.
+EVACUATED_RETRY_AFTER_S = 1.0
 # Refusals that do not count as failures of the upstream: because of load, or of the
 # request itself.
 _OVERLOAD_KINDS = (ErrorKind.OVERLOADED, ErrorKind.EXPIRED, ErrorKind.QUARANTINED)
 # Failures after which an upstream is ejected.
-_EJECTING_KINDS = (ErrorKind.CONNECT_FAILED, ErrorKind.LEAVING, ErrorKind.NOT_OWNER)
+_EJECTING_KINDS = (
+    ErrorKind.CONNECT_FAILED,
+    ErrorKind.EVACUATED,
+    ErrorKind.LEAVING,
+    ErrorKind.NOT_OWNER,
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -163,8 +171,8 @@
         self.refused_for_limit = 0
         # Requests refused because upstreams have crashed under them.
         self.refused_in_quarantine = 0
-        state.on_document.append(lambda document: self._apply_limits(document.limits))
-        state.on_registry.append(lambda change: balancer.forget(change.removed.keys()))
+        state.on_document.append(self._apply_document)
+        state.on_registry.append(self._apply_registry)
         peers.on_load = self._record_load
         peers.advertised_at = self._advertised_at
 
@@ -173,6 +181,11 @@
         """Return the number of upstreams known to have a limit."""
         return self._balancer.limited_count
 
+    @property
+    def cold_count(self) -> int:
+        """Return the number of cold upstreams whose rate is bounded."""
+        return self._balancer.cold_count
+
     async def start(self) -> None:
         """Start to accept connections."""
         await self._server.start()
@@ -194,6 +207,16 @@
         """Close the port and read no more requests; running requests continue."""
         self._server.close()
 
+    def _apply_document(self, document: Document) -> None:
+        self._balancer.set_services(document.services.values())
+        self._apply_limits(document.limits)
+
+    def _apply_registry(self, change: RegistryChange) -> None:
+        now = asyncio.get_running_loop().time()
+        self._balancer.forget(change.removed.keys())
+        for item in change.upstreams:
+            self._balancer.record_entry(item, now)
+
     def _apply_limits(self, limits: Limits) -> None:
         server_limits = self._server.limits
         server_limits.header_bytes = limits.header_bytes
@@ -392,9 +415,23 @@
             selected = [item for item in known if usable(item)]
             upstream = choose(selected or known)
         if upstream is None and not context.tried:
-            context.failure = self._limit_failure(context, selected or known, now)
+            if known:
+                context.failure = self._limit_failure(context, selected or known, now)
+            else:
+                context.failure = self._evacuation_failure(context.service)
         return upstream
 
+    def _evacuation_failure(self, service: str) -> Failure | None:
+        """Return the refusal if all upstreams of a service are in evacuated zones."""
+        if not self._state.is_service_evacuated(service):
+            return None
+        return Failure(
+            ErrorKind.EVACUATED,
+            Outcome.NOT_RUN,
+            "all upstreams of the service are in evacuated zones",
+            EVACUATED_RETRY_AFTER_S,
+        )
+
     def _limit_failure(
         self, context: RequestContext, upstreams: list[Upstream], now: float
     ) -> Failure | None:
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -11,6 +11,7 @@
     "CrashReport",
     "Data",
     "End",
+    "EvacuatedZones",
     "Evidence",
     "Failed",
     "Frame",
@@ -26,6 +27,8 @@
     "Submit",
     "Subscribe",
     "Taken",
+    "Warmup",
+    "ZoneChange",
     "decode_frame",
     "encode_frame",
 ]
@@ -60,6 +63,19 @@
     sharers: int = 1
 
 
+class Warmup(Struct, array_like=True, frozen=True):
+    """What a cold upstream tolerates until it is warm.
+
+    :param remaining_ms: time for which it stays cold, in milliseconds.
+    :param rate_per_s: requests per second that it tolerates from all nodes together.
+    :param sharers: number of nodes that share the rate.
+    """
+
+    remaining_ms: float
+    rate_per_s: float
+    sharers: int = 1
+
+
 class Load(Struct, array_like=True, frozen=True):
     """Load report of an owner about its upstream.
 
@@ -76,6 +92,7 @@
     :param advertised: what the upstream states about itself, ``None`` if nothing.
     :param samples: number of requests that ``service_ms`` was measured on, at most
         ``MAX_SAMPLES``. A node of an earlier build does not tell.
+    :param warmup: what the upstream tolerates while it is cold, ``None`` if it is warm.
     """
 
     running: int
@@ -89,6 +106,7 @@
     send_ms: float
     advertised: Advertisement | None = None
     samples: int = MAX_SAMPLES
+    warmup: Warmup | None = None
 
 
 class Hello(Struct, tag=1, array_like=True):
@@ -106,6 +124,8 @@
     :param reports_taken: whether the sender understands and sends :class:`Taken`.
     :param shares_evidence: whether the sender understands and sends
         :class:`Evidence`.
+    :param evacuation_revision: revision of the newest change of the evacuated zones
+        that the sender knows, -1 if it is of a build that knows none.
     """
 
     host: str
@@ -118,6 +138,7 @@
     advertised: list[Advertisement] = field(default_factory=list)
     reports_taken: bool = False
     shares_evidence: bool = False
+    evacuation_revision: int = -1
 
 
 class Ping(Struct, tag=2, array_like=True):
@@ -127,12 +148,14 @@
     :param version: as in :class:`Hello`.
     :param revision: as in :class:`Hello`.
     :param store_served: whether the store is available to the sender.
+    :param evacuation_revision: as in :class:`Hello`.
     """
 
     token: int
     version: int
     revision: int
     store_served: bool
+    evacuation_revision: int = -1
 
 
 class Pong(Struct, tag=3, array_like=True):
@@ -143,6 +166,7 @@
     revision: int
     store_served: bool
     load: Load
+    evacuation_revision: int = -1
 
 
 class Submit(Struct, tag=4, array_like=True):
@@ -357,6 +381,23 @@
     clearances: list[Clearance]
 
 
+class ZoneChange(Struct, array_like=True, frozen=True):
+    """Begin or end of the evacuation of an availability zone.
+
+    :param revision: revision of the store at which the operator changed it.
+    """
+
+    zone: str
+    revision: int
+    evacuated: bool
+
+
+class EvacuatedZones(Struct, tag=20, array_like=True):
+    """The newest change of each zone that was ever evacuated, as the sender knows."""
+
+    changes: list[ZoneChange]
+
+
 Frame = (
     Hello
     | Ping
@@ -377,6 +418,7 @@
     | Part
     | Taken
     | Evidence
+    | EvacuatedZones
 )
 
 _DECODER = msgpack.Decoder(Frame)
--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/link.py
@@ -68,6 +68,9 @@
         self.peer_reports_taken = False
         # Whether the peer understands evidence about crashes.
         self.peer_shares_evidence = False
+        # Newest change of the evacuated zones that the peer knows, -1 until it has said
+        # so, or if it is of a build that takes none.
+        self.peer_evacuation_revision = -1
         self.last_received_at = self._loop.time()
         self.closed = False
         self._hello_received = asyncio.Event()
--- a/ragwortferry/mesh/model.py
+++ b/ragwortferry/mesh/model.py
@@ -69,11 +69,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service to which routes send requests."""
+    """A service to which routes send requests.
+
+    :param cold_start_s: time for which an upstream is cold after its start.
+    :param cold_per_s: requests per second that a cold upstream tolerates from all nodes
+        together, 0 if that is not limited.
+    """
 
     name: str
     health_path: str
     max_connections: int
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,11 +135,13 @@
         ``None`` if it names no limit.
     :param leaving: whether it is about to exit.
     :param invalid: value of a limit header that is no decimal number, else empty.
+    :param cold_s: seconds for which it stays cold, ``None`` if it does not say.
     """
 
     limit_per_s: float | None = None
     leaving: bool = False
     invalid: str = ""
+    cold_s: float | None = None
 
 
 class Upstream(msgspec.Struct, frozen=True, array_like=True):
@@ -140,8 +149,7 @@
 
     :param id: identifies one process of the upstream; a restart gets a new id.
     :param slots: maximum number of requests that it runs at once.
-    :param cold_s: seconds for which it remains slow after its start, as of its last
-        registry update.
+    :param cold_s: seconds for which it remains cold, as of its last registry update.
     :param born_ms: start time by its own clock, in milliseconds since the epoch, 0 if
         unknown.
     :param revision: registry revision at which its entry last changed.
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -15,6 +15,7 @@
 from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.balance import Balancer
 from ragwortferry.mesh.entry import Entry
+from ragwortferry.mesh.evacuation import EvacuationExchange
 from ragwortferry.mesh.evidence import EvidenceExchange
 from ragwortferry.mesh.metrics import NodeMetrics
 from ragwortferry.mesh.owner import Owner
@@ -123,6 +124,10 @@
                 self._rng,
             ),
         )
+        evacuation = kernel.add(
+            "evacuation",
+            EvacuationExchange(state.evacuations, relay, log.component("evacuation")),
+        )
         owner = kernel.add(
             "owner",
             Owner(
@@ -134,6 +139,7 @@
                 evidence,
                 Recorder(log.component("owner"), metrics, settings.service),
                 log.component("owner"),
+                settings.bounds.cold_overage > 0,
             ),
         )
         aperture = kernel.add("aperture", Aperture(settings.host, settings.zone))
@@ -145,6 +151,7 @@
                 owner,
                 relay,
                 evidence,
+                evacuation,
                 settings.link_address,
                 settings.peer_port,
                 settings.seeds,
@@ -179,7 +186,14 @@
         reader = kernel.add(
             "reader",
             Reader(
-                kernel, state, peers, relay, store, log.component("store"), self._rng
+                kernel,
+                state,
+                peers,
+                relay,
+                evacuation,
+                store,
+                log.component("store"),
+                self._rng,
             ),
         )
         address = settings.readiness_address
@@ -309,15 +323,20 @@
     metrics.add_gauge("registry_revision", lambda: state.revision)
     metrics.add_gauge("upstreams", lambda: len(state.upstreams))
     metrics.add_gauge("upstreams_leaving", lambda: state.leaving_count)
+    metrics.add_gauge("zones_evacuated", lambda: len(state.evacuations.zones))
     metrics.add_gauge("links", lambda: peers.connected_count)
     metrics.add_gauge("in_flight", lambda: entry.in_flight)
     metrics.add_gauge("upstreams_limited", lambda: entry.limited_count)
+    metrics.add_gauge("upstreams_cold", lambda: entry.cold_count)
     metrics.add_gauge("entry_refused_for_limit", lambda: entry.refused_for_limit)
     metrics.add_gauge("owner_running", lambda: owner.load().running)
     metrics.add_gauge("owner_queued", lambda: owner.load().queued)
     metrics.add_gauge("owner_refused", lambda: owner.refused)
     metrics.add_gauge("upstream_limited", lambda: int(owner.limit_per_s is not None))
     metrics.add_gauge("upstream_limit_per_s", lambda: owner.limit_per_s or 0.0)
+    metrics.add_gauge("upstream_warmup_per_s", lambda: owner.warmup_rate_per_s or 0.0)
+    metrics.add_gauge("upstream_health_checks", lambda: owner.health_checks)
+    metrics.add_gauge("owner_refused_evacuated", lambda: owner.refused_evacuated)
     metrics.add_gauge("owner_held_for_limit", lambda: owner.held_for_limit)
     metrics.add_gauge("owner_refused_for_limit", lambda: owner.refused_for_limit)
     metrics.add_gauge("owner_ran", lambda: owner.ran)
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -19,7 +19,7 @@
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.evidence import EvidenceExchange
-from ragwortferry.mesh.frames import MAX_SAMPLES, Advertisement, Load
+from ragwortferry.mesh.frames import MAX_SAMPLES, Advertisement, Load, Warmup
 from ragwortferry.mesh.guard import CrashGuard
 from ragwortferry.mesh.quarantine import Quarantine
 from ragwortferry.mesh.recording import Recorder
@@ -31,6 +31,7 @@
     unknown,
 )
 from ragwortferry.mesh.state import MeshState, RegistryChange
+from ragwortferry.mesh.warmup_monitor import WarmUpMonitor
 from ragwortferry.platform.advertised import decode_advertised
 from ragwortferry.platform.names import (
     CALLER_SERVICE_HEADER,
@@ -57,6 +58,10 @@
 CONNECT_BACKOFF_S = 0.2
 # Retry-After time of these refusals.
 CONNECT_RETRY_AFTER_S = 0.3
+# Retry-After time of the refusal of attempts in an evacuated zone.
+EVACUATED_RETRY_AFTER_S = 0.1
+# The same until this node knows whether its upstream is cold.
+STARTING_RETRY_AFTER_S = 0.2
 # Time for which attempts at an upstream are refused after another one has answered at
 # its address. The registry lists the former for some seconds.
 MISDIRECTED_S = 1.0
@@ -69,6 +74,7 @@
     :param own_host: IP address of this instance.
     :param quarantine: decides which requests are refused because they crash upstreams.
     :param evidence: spreads which requests were at work in a crash.
+    :param bounds_cold: whether the settings bound the requests to cold upstreams.
     """
 
     def __init__(
@@ -81,6 +87,7 @@
         evidence: EvidenceExchange,
         recorder: Recorder,
         log: Log,
+        bounds_cold: bool = False,
     ):
         self._state = state
         self._pacer = pacer
@@ -89,10 +96,14 @@
         self._recorder = recorder
         self._pool = Pool(target, own_host) if target else None
         self._guard: CrashGuard | None = None
+        self._warmup: WarmUpMonitor | None = None
         if self._pool:
             self._guard = CrashGuard(
                 quarantine, evidence, state, self._pool, self._on_crash, log
             )
+            self._warmup = WarmUpMonitor(
+                state, self._pool, own_host, bounds_cold, self._on_warmup, log
+            )
         self._admission = AdmissionQueue(INITIAL_SLOTS, self._on_expired)
         self._attempts: dict[int, AttemptState] = {}
         # Mean response size of each route, in bytes.
@@ -111,11 +122,14 @@
         # Start time of the upstream listed last at this instance, by its id.
         self._born_ms: dict[str, int] = {}
         state.on_registry.append(self._on_registry)
+        state.evacuations.on_change.append(self._on_evacuation)
         # Loop time after which no response can be sent, once the node shuts down.
         self._ends_at = float("inf")
         self.refused = 0
         # The refusals among them while the upstream names a limit.
         self.refused_for_limit = 0
+        # The refusals because the zone of the upstream is evacuated.
+        self.refused_evacuated = 0
         self.ran = 0
 
     @property
@@ -133,6 +147,22 @@
         """Return the number of attempts that wait for the upstream's limit."""
         return self._admission.held
 
+    @property
+    def warmup_rate_per_s(self) -> float | None:
+        """Return the rate that a cold upstream tolerates, ``None`` if it is warm."""
+        return self._warmup.rate_per_s if self._warmup else None
+
+    @property
+    def health_checks(self) -> int:
+        """Return the number of health checks of the upstream."""
+        return self._warmup.health_checks if self._warmup else 0
+
+    @property
+    def _rate_per_s(self) -> float | None:
+        """Return the highest rate at which requests may be sent, ``None`` if any."""
+        rates = [self.limit_per_s, self.warmup_rate_per_s]
+        return min((rate for rate in rates if rate is not None), default=None)
+
     @property
     def crashes(self) -> int:
         """Return how often the upstream was found to have crashed."""
@@ -156,6 +186,7 @@
             self._target is not None
             and self._ends_at == float("inf")
             and now >= self._unreachable_until
+            and not self._evacuated
         )
         delays = admission.queueing_delays(now)
         service_ms = round(admission.service_s * 1000, 1)
@@ -171,8 +202,26 @@
             round(self._pacer.queueing_delay_s * 1000, 1),
             self._advertisement(now),
             min(MAX_SAMPLES, admission.service_samples),
+            self._warmup_report(now),
+        )
+
+    @property
+    def _evacuated(self) -> bool:
+        """Return whether the zone of the upstream is evacuated."""
+        zones = self._state.evacuations
+        return any(
+            zones.includes(item.zone)
+            for item in self._state.upstreams_at(self._own_host)
         )
 
+    def _warmup_report(self, now: float) -> Warmup | None:
+        """Return what other nodes need to know of a cold upstream."""
+        rate_per_s = self.warmup_rate_per_s
+        if rate_per_s is None:
+            return None
+        remaining_ms = round(self._warmup.remaining(now) * 1000)
+        return Warmup(remaining_ms, rate_per_s, self.count_sharers())
+
     def _advertisement(self, now: float) -> Advertisement | None:
         """Return what the upstream states about itself, ``None`` if nothing."""
         state, upstream = self._state, self._advertised.upstream
@@ -201,6 +250,7 @@
                 attempt_state.task.cancel()
         if self._guard:
             self._guard.stop()
+            self._warmup.stop()
         if self._pool:
             self._pool.clear()
 
@@ -261,7 +311,7 @@
         now = asyncio.get_running_loop().time()
         for item in advertised:
             if self._advertised.adopt(item, now):
-                self._admission.limit_rate(item.limit_per_s, now)
+                self._admission.limit_rate(self._rate_per_s, now)
             if item.leaving:
                 self._state.mark_leaving(item.upstream, item.born_ms, origin)
 
@@ -288,6 +338,13 @@
         known = self._state.upstreams.get(attempt.upstream)
         if known is not None and known.draining:
             return not_run(ErrorKind.LEAVING, "upstream is draining")
+        if self._evacuated:
+            self.refused_evacuated += 1
+            detail = "zone of the upstream is evacuated"
+            return not_run(ErrorKind.EVACUATED, detail, EVACUATED_RETRY_AFTER_S)
+        if self._warmup.unknown:
+            detail = "node has started and does not know yet if its upstream is cold"
+            return not_run(ErrorKind.OVERLOADED, detail, STARTING_RETRY_AFTER_S)
         if self._state.is_leaving(attempt.upstream):
             return not_run(ErrorKind.LEAVING, "upstream says that it is leaving")
         if now < self._misdirected_until.get(attempt.upstream, now):
@@ -305,9 +362,30 @@
         """Accept no attempts for a moment and let the other nodes know at once."""
         now = asyncio.get_running_loop().time()
         self._unreachable_until = now + CONNECT_BACKOFF_S
+        self._warmup.record_down()
         self.on_news()
 
+    def _on_warmup(self) -> None:
+        """Keep the rate that a cold upstream tolerates, and tell the other nodes."""
+        now = asyncio.get_running_loop().time()
+        self._admission.limit_rate(self._rate_per_s, now)
+        self.on_news()
+        self._start_next()
+
+    def _on_evacuation(self, zones: list[str]) -> None:
+        """Hand back what is queued at an evacuated upstream: it has not run."""
+        if self._evacuated:
+            for job in self._admission.withdraw_all():
+                attempt_state: AttemptState = job.payload
+                self._attempts.pop(id(attempt_state), None)
+                failure = self._rejection(
+                    attempt_state.attempt, asyncio.get_running_loop().time()
+                )
+                self._refuse(attempt_state, failure)
+            self.on_news()
+
     def _set_slots(self, attempt: Attempt) -> None:
+        self._warmup.record_process(attempt.upstream)
         known = self._state.upstreams.get(attempt.upstream)
         if known is not None:
             self._admission.slots = known.slots
@@ -322,6 +400,8 @@
                 f", limit {self.limit_per_s:g}/s named by {self._advertised.upstream}"
                 f" {age_s:.1f} s ago"
             )
+        if self.warmup_rate_per_s is not None:
+            detail += f", cold upstream tolerates {self.warmup_rate_per_s:g}/s"
         return not_run(refusal.kind, detail, refusal.retry_after_s)
 
     def _refuse(self, attempt_state: AttemptState, failure: Failure) -> None:
@@ -354,6 +434,8 @@
         if self.limit_per_s is not None:
             details["limit_per_s"] = self.limit_per_s
             details["limit_age_ms"] = round((now - self._advertised.named_at) * 1000)
+        if self.warmup_rate_per_s is not None:
+            details["cold_per_s"] = self.warmup_rate_per_s
         self._recorder.attempt(
             attempt_state.attempt, details, failure, self._state.revision
         )
@@ -428,16 +510,19 @@
                 return
             if upstream != attempt_state.attempt.upstream:
                 until = asyncio.get_running_loop().time() + MISDIRECTED_S
+                self._warmup.record_process(upstream)
                 self._misdirected_until = {attempt_state.attempt.upstream: until}
             known = self._state.upstreams.get(upstream)
             born_ms = known.born_ms if known else 0
         advertised = decode_advertised(head.headers)
+        if upstream == attempt_state.attempt.upstream:
+            self._warmup.record_response(advertised.cold_s)
         now = asyncio.get_running_loop().time()
         was_limited = self.limit_per_s is not None
         if self._advertised.record(
             upstream, advertised, attempt_state.sent_at, now, ran
         ):
-            self._admission.limit_rate(self.limit_per_s, now)
+            self._admission.limit_rate(self._rate_per_s, now)
         news = was_limited != (self.limit_per_s is not None)
         if advertised.leaving:
             news |= self._state.mark_leaving(upstream, born_ms, self._own_host)
@@ -445,14 +530,16 @@
             self.on_news()
 
     def _on_registry(self, change: RegistryChange) -> None:
-        """Lift the limit of an upstream that has started again under its id."""
+        """Forget what was known of an upstream that has started again."""
         for item in change.upstreams:
             restarted = item.born_ms > self._born_ms.get(item.id, item.born_ms)
             if item.address.host == self._own_host:
+                if self._born_ms not in ({}, {item.id: item.born_ms}):
+                    self._failure_ratio = 0.0
                 self._born_ms = {item.id: item.born_ms}
             if restarted and self._advertised.forget(item.id):
                 now = asyncio.get_running_loop().time()
-                self._admission.limit_rate(None, now)
+                self._admission.limit_rate(self._rate_per_s, now)
 
     async def _forward(
         self, attempt_state: AttemptState, response: UpstreamResponse
@@ -467,6 +554,7 @@
             connection = await self._pool.acquire(max_idle)
         except ConnectionBrokenError as error:
             self._unreachable_until = loop.time() + CONNECT_BACKOFF_S
+            self._warmup.record_down()
             if error.refused:
                 self._guard.search()
             failure = not_run(
@@ -474,6 +562,11 @@
             )
             self._refuse(attempt_state, failure)
             return
+        self._warmup.record_up()
+        if self._evacuated:
+            self._pool.release(connection)
+            self._refuse(attempt_state, self._rejection(attempt, loop.time()))
+            return
         failure = None
         try:
             failure = await self._send(connection, attempt_state, response)
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/peers.py
@@ -14,12 +14,14 @@
 from ragwortferry.logs import Log
 from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
+from ragwortferry.mesh.evacuation import EvacuationExchange
 from ragwortferry.mesh.evidence import EvidenceExchange
 from ragwortferry.mesh.frames import (
     Advertisement,
     Cancel,
     Data,
     End,
+    EvacuatedZones,
     Evidence,
     Failed,
     Frame,
@@ -155,6 +157,7 @@
     :param owner: runs the attempts that peers submit.
     :param relay: handles the messages that distribute state.
     :param evidence: handles the messages about requests that crash upstreams.
+    :param evacuation: handles the messages about evacuated zones.
     :param address: where this node accepts links.
     :param peer_port: port where all other nodes accept links.
     :param seeds: IP addresses of nodes to request the state from at the start.
@@ -170,6 +173,7 @@
         owner: Owner,
         relay: Relay,
         evidence: EvidenceExchange,
+        evacuation: EvacuationExchange,
         address: Address,
         peer_port: int,
         seeds: tuple[str, ...],
@@ -185,6 +189,7 @@
         self._owner = owner
         self._relay = relay
         self._evidence = evidence
+        self._evacuation = evacuation
         self._address = address
         self._peer_port = peer_port
         self._zone = zone
@@ -534,6 +539,7 @@
                 self.advertised_at(link.host) if link.dialed else [],
                 reports_taken=True,
                 shares_evidence=True,
+                evacuation_revision=state.evacuations.revision,
             )
         )
 
@@ -599,6 +605,8 @@
                     found[1].window.take(frame.size)
             case Evidence():
                 self._evidence.on_evidence(link, frame)
+            case EvacuatedZones():
+                self._evacuation.on_frame(link, frame)
             case Hello():
                 link.host, link.zone = frame.host, frame.zone
                 link.subscribed, link.peer_mbps = frame.relays, frame.link_mbps
@@ -609,13 +617,16 @@
                     self._owner.adopt_advertised(frame.advertised, frame.host)
                 self._relay.record_bandwidth(frame.host, frame.link_mbps)
                 self._trigger_redial(link)
+                self._evacuation.on_peer_revision(link, frame.evacuation_revision)
                 self._relay.on_hello(link, frame.version, frame.revision)
             case Ping():
                 self._relay.on_peer_state(link, frame.version, frame.revision)
+                self._evacuation.on_peer_revision(link, frame.evacuation_revision)
                 link.peer_store_available = frame.store_served
                 link.send(self._pong(frame.token))
             case Pong():
                 self._relay.on_peer_state(link, frame.version, frame.revision)
+                self._evacuation.on_peer_revision(link, frame.evacuation_revision)
                 link.peer_store_available = frame.store_served
                 self._measure_round_trip(link, frame.token)
                 self.on_load(link.host, frame.load)
@@ -637,6 +648,7 @@
             state.revision,
             self._relay.store_available,
             self._owner.load(),
+            state.evacuations.revision,
         )
 
     def _pending(
@@ -763,4 +775,5 @@
             state.version,
             state.revision,
             self._relay.store_available,
+            state.evacuations.revision,
         )
--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -9,11 +9,14 @@
 
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log
+from ragwortferry.mesh.evacuation import EvacuationExchange
+from ragwortferry.mesh.frames import ZoneChange
 from ragwortferry.mesh.model import Upstream
 from ragwortferry.mesh.peers import Peers
 from ragwortferry.mesh.relay import Relay
 from ragwortferry.mesh.state import MeshState, RegistryChange
-from ragwortferry.platform.names import CONFIG_KEY, REGISTRY_PREFIX
+from ragwortferry.platform.evacuation import evacuated_zone
+from ragwortferry.platform.names import CONFIG_KEY, OPERATOR_PREFIX, REGISTRY_PREFIX
 from ragwortferry.platform.registry import decode_upstream, upstream_id
 from ragwortferry.platform.store import (
     HistoryLostError,
@@ -62,6 +65,7 @@
         state: MeshState,
         peers: Peers,
         relay: Relay,
+        evacuation: EvacuationExchange,
         store: StoreClient,
         log: Log,
         rng: random.Random,
@@ -70,6 +74,7 @@
         self._state = state
         self._peers = peers
         self._relay = relay
+        self._evacuation = evacuation
         self._store = store
         self._log = log
         self._rng = rng
@@ -168,21 +173,24 @@
             )
 
     async def _read_configuration(self, after: int) -> int:
-        """Read the configuration, or watch for its next change.
+        """Read what the operator has written, or watch for its next change.
 
         :param after: revision after which to watch, 0 to read.
         :return: revision after which to watch next, 0 to read again.
         """
         if not after:
-            page = await self._store.read(CONFIG_KEY)
+            page = await self._store.list(OPERATOR_PREFIX)
             self._apply_documents(page.items)
+            self._replace_evacuations(page.items, page.revision)
             if page.revision:
                 return page.revision
             await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
             return 0
-        page = await self._store.watch(CONFIG_KEY, after, WATCH_TIMEOUT_S)
+        page = await self._store.watch(OPERATOR_PREFIX, after, WATCH_TIMEOUT_S)
         if page.items:
-            self._apply_documents(page.items[-1:])
+            self._apply_evacuations(page.items)
+            documents = [item for item in page.items if item.key == CONFIG_KEY]
+            self._apply_documents(documents[-1:])
             await asyncio.sleep(WATCH_PAUSE_S)
         return max(after, page.revision)
 
@@ -191,6 +199,22 @@
             if item.key == CONFIG_KEY and item.value is not None:
                 self._state.apply_document(item.value, "store")
 
+    def _replace_evacuations(self, items: list[Item], revision: int) -> None:
+        """Take over which zones a full listing shows as evacuated."""
+        zones = {evacuated_zone(item.key): item.revision for item in items}
+        zones.pop("", None)
+        self._evacuation.replace(zones, revision)
+
+    def _apply_evacuations(self, items: list[Item]) -> None:
+        """Apply the changes of evacuated zones among the operator's changes."""
+        changes = [
+            ZoneChange(zone, item.revision, not item.removed)
+            for item in items
+            if (zone := evacuated_zone(item.key))
+        ]
+        if changes:
+            self._evacuation.apply(changes, "store")
+
     async def _read_registry(self, after: int) -> int:
         """Read the registry, or watch for its next changes.
 
--- a/ragwortferry/mesh/state.py
+++ b/ragwortferry/mesh/state.py
@@ -16,6 +16,7 @@
 from ragwortferry.logs import Log
 from ragwortferry.mesh.history import DocumentChange, DocumentHistory
 from ragwortferry.mesh.model import Document, Upstream
+from ragwortferry.mesh.zones import Evacuations
 
 # Maximum number of removals that are kept; more than can be in flight between two
 # nodes.
@@ -64,6 +65,8 @@
         self._by_host: dict[str, list[Upstream]] | None = None
         self._history = DocumentHistory()
         self._refused: set[int] = set()
+        self.evacuations = Evacuations()
+        self.evacuations.on_change.append(self._on_evacuation)
         self.document: Document | None = None
         self.revision = 0
         # Called in the order of the list, after the change was applied.
@@ -151,17 +154,30 @@
         if self._by_service is None:
             self._by_service = {}
             for item in self._upstreams.values():
-                if not item.draining and item.id not in self._leaving:
+                if (
+                    not item.draining
+                    and item.id not in self._leaving
+                    and not self.evacuations.includes(item.zone)
+                ):
                     self._by_service.setdefault(item.service, []).append(item)
         return self._by_service
 
     def available_upstreams(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that are not draining or leaving.
+        """Return the upstreams of a service that may get requests.
 
-        It is the same list until one of them changes.
+        These are not draining or leaving, and not in an evacuated zone. It is the same
+        list until one of them changes.
         """
         return self._available.get(service, [])
 
+    def is_service_evacuated(self, service: str) -> bool:
+        """Return whether a service has upstreams, all of them in evacuated zones."""
+        zones = {i.zone for i in self._upstreams.values() if i.service == service}
+        return bool(zones) and all(self.evacuations.includes(zone) for zone in zones)
+
+    def _on_evacuation(self, zones: list[str]) -> None:
+        self._by_service = None
+
     def upstreams_at(self, host: str) -> list[Upstream]:
         """Return the upstreams that are registered at an IP address."""
         if self._by_host is None:
--- a/ragwortferry/mesh/tests/conftest.py
+++ b/ragwortferry/mesh/tests/conftest.py
@@ -16,9 +16,9 @@
 def run_scenario(tmp_path):
     """Run a scenario against a mesh of four instances in two zones."""
 
-    def run(scenario, layout=None, config=None, link_mbps=1000.0):
+    def run(scenario, layout=None, config=None, link_mbps=1000.0, bounds=""):
         async def main():
-            mesh = Mesh(tmp_path, next(SUBNETS), link_mbps=link_mbps)
+            mesh = Mesh(tmp_path, next(SUBNETS), link_mbps=link_mbps, bounds=bounds)
             try:
                 async with asyncio.timeout(TIMEOUT_S):
                     await mesh.put_config(config or a_config())
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -51,6 +51,7 @@
     a_pacer,
     a_registry_entry,
     an_attempt,
+    an_evacuation_exchange,
     an_upstream,
     null_log,
 )
@@ -302,9 +303,6 @@
     async def watch(self, prefix, after, wait_s):
         return self._next_result()
 
-    async def read(self, key):
-        return self._next_result()
-
     def _next_result(self):
         result = self.results.pop(0)
         if isinstance(result, Exception):
@@ -317,7 +315,16 @@
     kernel = Kernel(null_log())
     peers = type("NoPeers", (), {"links": []})()
     rng = random.Random(1)
-    reader = Reader(kernel, state, peers, relay, store, null_log(), rng)
+    reader = Reader(
+        kernel,
+        state,
+        peers,
+        relay,
+        an_evacuation_exchange(state, relay),
+        store,
+        null_log(),
+        rng,
+    )
     return state, relay, reader
 
 
@@ -431,6 +438,7 @@
         None,
         relay,
         None,
+        an_evacuation_exchange(state, relay),
         address,
         8145,
         (),
@@ -671,6 +679,7 @@
             None,
             relay,
             None,
+            an_evacuation_exchange(state, relay),
             Address("127.0.0.1", 0),
             port,
             (),
--- a/ragwortferry/mesh/tests/test_transfers.py
+++ b/ragwortferry/mesh/tests/test_transfers.py
@@ -26,6 +26,7 @@
 from ragwortferry.tests.mesh_builders import (
     a_large_config,
     a_pacer,
+    an_evacuation_exchange,
     an_upstream,
     null_log,
 )
@@ -155,7 +156,16 @@
         state, relay = _node()
         peers = type("NoPeers", (), {"links": []})()
         rng = random.Random(1)
-        reader = Reader(Kernel(null_log()), state, peers, relay, None, null_log(), rng)
+        reader = Reader(
+            Kernel(null_log()),
+            state,
+            peers,
+            relay,
+            an_evacuation_exchange(state, relay),
+            None,
+            null_log(),
+            rng,
+        )
         reader._record_failure("configuration", StoreUnavailableError("too slow"))
         reader._record_success("registry")
         assert not relay.store_available
@@ -170,7 +180,16 @@
         state, relay = _node()
         peers = type("NoPeers", (), {"links": []})()
         rng = random.Random(1)
-        reader = Reader(Kernel(null_log()), state, peers, relay, None, null_log(), rng)
+        reader = Reader(
+            Kernel(null_log()),
+            state,
+            peers,
+            relay,
+            an_evacuation_exchange(state, relay),
+            None,
+            null_log(),
+            rng,
+        )
         state.apply_registry(RegistryChange(0, 5, [an_upstream()]), "store")
         reader._record_success("registry")
         error = StoreUnavailableError("transfer stalled", responded=True)
@@ -190,6 +209,7 @@
             None,
             relay,
             None,
+            an_evacuation_exchange(state, relay),
             address,
             8145,
             (),
--- a/ragwortferry/platform/config.py
+++ b/ragwortferry/platform/config.py
@@ -70,6 +70,8 @@
     name: NonEmptyStr
     health_path: str = "/health"
     max_connections: PositiveInt = 100
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(Struct):
@@ -111,7 +113,13 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return Error(str(error))
         services = {
-            item.name: Service(item.name, item.health_path, item.max_connections)
+            item.name: Service(
+                item.name,
+                item.health_path,
+                item.max_connections,
+                max(0.0, item.cold_start_s),
+                max(0.0, item.cold_per_s),
+            )
             for item in config.services
         }
         for route in routes.values():
--- a/ragwortferry/platform/names.py
+++ b/ragwortferry/platform/names.py
@@ -2,12 +2,15 @@
 
 __all__ = [
     "CALLER_SERVICE_HEADER",
+    "COLD_HEADER",
     "CONFIG_KEY",
     "DEADLINE_HEADER",
+    "EVACUATION_PREFIX",
     "INSTANCE_ID_HEADER",
     "LEAVING_HEADER",
     "LIMIT_HEADER",
     "NOT_RUN_HEADER",
+    "OPERATOR_PREFIX",
     "PEER_PORT_VARIABLE",
     "READY_PATH",
     "REGISTRY_PREFIX",
@@ -23,7 +26,11 @@
 PEER_PORT_VARIABLE = "RAGWORTFERRY_PEER_PORT"
 READY_PATH = "/-/ready"
 
+# All that the operator writes.
+OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
+# Followed by the name of the zone.
+EVACUATION_PREFIX = "op/evacuate/"
 REGISTRY_PREFIX = "servers/"
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -38,3 +45,5 @@
 # Requests per second that the upstream accepts from all nodes together.
 LIMIT_HEADER = "Server-Limit"
 LEAVING_HEADER = "Server-Leaving"
+# Milliseconds for which the upstream stays cold.
+COLD_HEADER = "X-Cold-Remaining-Ms"
--- a/ragwortferry/platform/registry.py
+++ b/ragwortferry/platform/registry.py
@@ -25,7 +25,7 @@
     state: Literal["ready", "draining"]
     # Number of the report, counted from each start of the upstream.
     seq: int
-    cold_remaining_s: Annotated[float, Meta(ge=0)] = 0.0
+    cold_remaining_s: float = 0.0
 
 
 class _Entry(Struct):
@@ -71,7 +71,8 @@
             zone=entry.info.zone,
             slots=entry.info.slots,
             draining=entry.status.state == DRAINING,
-            cold_s=entry.status.cold_remaining_s,
+            # A negative time must not make the upstream unusable.
+            cold_s=max(0.0, entry.status.cold_remaining_s),
             born_ms=entry.born,
             revision=revision,
         )
--- a/ragwortferry/platform/settings.py
+++ b/ragwortferry/platform/settings.py
@@ -49,6 +49,8 @@
         upstream beyond the first is a retry.
     :param retry_window_s: time window over which retries are counted.
     :param retry_slack: retries that a window allows in addition to the ratio.
+    :param cold_overage: factor on the rate that a cold upstream tolerates above which
+        requests are counted against it, 0 if cold upstreams are not bounded.
     """
 
     drain_s: float = 2.0
@@ -58,6 +60,7 @@
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 64.0
+    cold_overage: float = 0.0
 
 
 class _StoreSettings(Struct):
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -3,11 +3,13 @@
 __all__ = [
     "ManualLoop",
     "a_config",
+    "a_config_with_cold_upstreams",
     "a_document",
     "a_large_config",
     "a_pacer",
     "a_route",
     "an_attempt",
+    "an_evacuation_exchange",
     "an_exchange",
     "an_owner",
     "a_registry_entry",
@@ -22,6 +24,7 @@
 
 from ragwortferry.logs import Log, LogContext
 from ragwortferry.mesh.attempt import Attempt
+from ragwortferry.mesh.evacuation import EvacuationExchange
 from ragwortferry.mesh.evidence import EvidenceExchange
 from ragwortferry.mesh.frames import Load
 from ragwortferry.mesh.model import Destination, Document, Limits, Route, Upstream
@@ -135,6 +138,11 @@
     return EvidenceExchange(quarantine, relay, incarnation, null_log(), rng)
 
 
+def an_evacuation_exchange(state: MeshState, relay: Relay) -> EvacuationExchange:
+    """Return the exchange of evacuated zones of a node."""
+    return EvacuationExchange(state.evacuations, relay, null_log())
+
+
 def an_owner(state: MeshState, target: Address, recorder) -> Owner:
     """Return the owner of an upstream."""
     quarantine = Quarantine(target.host)
@@ -212,6 +220,14 @@
     return {**config, **changes}
 
 
+def a_config_with_cold_upstreams(cold_per_s: float, cold_start_s: float) -> dict:
+    """Return a configuration that bounds the requests to cold upstreams."""
+    config = a_config()
+    for cluster in config["clusters"]:
+        cluster |= {"cold_per_s": cold_per_s, "cold_start_s": cold_start_s}
+    return config
+
+
 def a_large_config(version: str, routes: int, changed: int = -1) -> bytes:
     """Return an encoded configuration with many routes.
 
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -56,6 +56,7 @@
 retry_budget_ratio = 0.2
 retry_window_s = 10
 retry_slack = 64
+{bounds}
 [provider]
 address = "{store}:{store_port}"
 reads_per_s = 2000
@@ -112,6 +113,8 @@
     session: aiohttp.ClientSession | None = None
     # Bandwidth of an instance according to its settings. Nothing else enforces it.
     link_mbps: float = 1000.0
+    # Further lines of the settings' section of bounds.
+    bounds: str = ""
     # If set, its fault proxies forward the links between nodes and the connections to
     # the store and the upstreams; the second byte of an address is then the zone.
     network: Network | None = None
@@ -180,6 +183,7 @@
                 ready=READY_PORT,
                 link=LINK_PORT,
                 link_mbps=self.link_mbps,
+                bounds=self.bounds,
                 store=self.store_host,
                 store_port=STORE_PROXY_PORT if self.network else STORE_PORT,
             )
@@ -230,6 +234,14 @@
         await machine.upstream.restart(name)
         await self.register(machine)
 
+    async def evacuate(self, zone: str) -> None:
+        """Request that the upstreams of a zone get no requests."""
+        await self.store.put(f"op/evacuate/{zone}", b"{}")
+
+    async def restore(self, zone: str) -> None:
+        """Take back the evacuation of a zone."""
+        await self.store.delete(f"op/evacuate/{zone}")
+
     async def put_config(self, config: dict) -> int:
         """Write a configuration to the store and return its revision."""
         return await self.store.put("op/config", json.dumps(config).encode())
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -28,6 +28,8 @@
     refusals, and ``leaving`` adds ``Server-Leaving``. Responses have
     ``response_bytes``, or ``long_response_bytes`` if the request id starts with
     ``long``. ``received`` holds the method, path and body of each request by its id.
+    Until ``cold_until`` (monotonic time) its registry entry and its health responses
+    state how long it stays cold; health checks count as no arrivals.
     A request for which ``crashes_on`` returns true crashes the upstream after
     ``crash_delay_s``: all connections are reset and the port is closed until
     :meth:`restart`.
@@ -46,6 +48,8 @@
         self.crash_delay_s = 0.03
         # Monotonic time of each crash and the ids of the requests then at work.
         self.crashes: list[tuple[float, list[str]]] = []
+        self.cold_until = 0.0
+        self.health_checks = 0
         self.limit = ""
         self.leaving = False
         # Monotonic time of the first response with one of these, 0 before.
@@ -108,6 +112,17 @@
         """Stop the server."""
         await self._runner.cleanup()
 
+    @property
+    def cold_remaining_s(self) -> float:
+        """Return the seconds for which the upstream stays cold."""
+        return max(0.0, self.cold_until - time.monotonic())
+
+    def _health(self) -> web.Response:
+        self.health_checks += 1
+        cold_ms = str(round(self.cold_remaining_s * 1000))
+        headers = {"X-Instance-Id": self.name, "X-Cold-Remaining-Ms": cold_ms}
+        return web.Response(headers=headers)
+
     def registry_entry(self, state: str = "ready") -> bytes:
         """Return the registry entry of the upstream."""
         content = {
@@ -118,7 +133,11 @@
                 "zone": self.zone,
                 "slots": self.slots,
             },
-            "status": {"state": state, "seq": 1, "cold_remaining_s": 0},
+            "status": {
+                "state": state,
+                "seq": 1,
+                "cold_remaining_s": self.cold_remaining_s,
+            },
             "born": self.born_ms,
         }
         return json.dumps(content).encode()
@@ -150,6 +169,8 @@
         return headers | ({"Server-Leaving": "1"} if self.leaving else {})
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/health" and "X-Request-Id" not in request.headers:
+            return self._health()
         request_id = request.headers.get("X-Request-Id", "")
         intended = request.headers.get("X-Target-Instance", self.name)
         if intended != self.name:
