Count expected responses at admission on slow network links

Cause: a long response waits for the network link when its work is done, and the owner looked only at what waited when the request came. The requests that were queued and running sent their responses first.

Change: the owner adds the expected bytes of admitted requests to what waits for the link, both at admission and in its load report; the time in which the link sends them overlaps with the queue and the service. The entry subtracts the transfer on its own link from the objective that it gives the owner, and counts what it has sent since the last report.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -61,8 +61,8 @@
     :param objective_at: time until which the response meets the latency objective.
     :param deadline_at: time after which the response is useless.
     :param payload: the owner's state of the attempt; not used by the queue.
-    :param send_delay_s: time that its response will wait for the network link, in
-        seconds.
+    :param link_backlog_s: time until the network link has sent the responses before
+        its own, in seconds; 0 if its response does not wait for them.
     :param idempotent: whether it may run more than once; only such requests are probes.
     :param late_on_arrival: whether it was expected to miss its objective even without
         queueing.
@@ -75,7 +75,7 @@
     objective_at: float
     deadline_at: float
     payload: object = None
-    send_delay_s: float = 0.0
+    link_backlog_s: float = 0.0
     started_at: float = 0.0
     idempotent: bool = False
     running: bool = False
@@ -192,7 +192,10 @@
     def admit(self, job: Job, now: float) -> Refusal | None:
         """Queue a job, or return why it is refused; :meth:`start_next` starts it."""
         job.late_on_arrival = self._misses_objective(job, now)
-        delay = self._queueing_delay(job, now) + job.send_delay_s
+        delay = self._queueing_delay(job, now)
+        # The link sends the responses before this one while it is queued and running.
+        service_s = self._service_times.get(job.route)
+        delay = max(delay, job.link_backlog_s - service_s)
         if self._misses_deadline(job, now) and delay == 0:
             job.probe = self._try_probe(job, now)
         if (
--- a/ragwortferry/mesh/balance.py
+++ b/ragwortferry/mesh/balance.py
@@ -287,7 +287,7 @@
             best, best_cost = None, float("inf")
             for item in items:
                 cost = self.cost(item, objective_s, now, mean_service_s, priority)
-                cost += self._transfer_s(item, response_bytes, now)
+                cost += self._transfer_s(item, response_bytes, now, mean_service_s)
                 if item.zone != self._zone:
                     cost += zone_cost
                 if cost < best_cost:
@@ -377,14 +377,23 @@
         utilization = min(1.0, occupied / max(1, slots))
         return delay, service_s * (1 + FULL_SLOWDOWN_FRACTION * utilization)
 
-    def _transfer_s(self, upstream: Upstream, size: float, now: float) -> float:
-        """Return the time to transfer a response over the network links, in seconds."""
-        load = self.stats(upstream, now).load
+    def _transfer_s(
+        self, upstream: Upstream, size: float, now: float, mean_service_s: float
+    ) -> float:
+        """Return the time that a long response spends on network links, in seconds.
+
+        Responses before it are sent while the request is queued and running. The time
+        on this instance's own link is the same for all upstreams and left out.
+        """
+        stats = self.stats(upstream, now)
+        load = stats.load
         local = upstream.address.host == self._host
         if load is None or local or size <= MAX_UNPACED_BYTES:
             return 0.0
-        bandwidth_mbps = min(load.link_mbps, self._link_mbps)
-        return load.send_ms / 1000 + size / (bandwidth_mbps * BYTES_PER_MBIT)
+        since_report = max(0, stats.in_flight - stats.in_flight_base)
+        transfer_s = size / (min(load.link_mbps, self._link_mbps) * BYTES_PER_MBIT)
+        wait_s = load.send_ms / 1000 + since_report * transfer_s
+        return max(0.0, wait_s - mean_service_s) + transfer_s
 
     def record_start(self, upstream: Upstream, now: float) -> None:
         """Record that a request is sent to an upstream."""
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -161,6 +161,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._splitter = TrafficSplitter(rng)
         self._server = Server(self._handle, address.host, address.port, pacer)
+        self._pacer = pacer
         # Maximum timeout of requests seen on each route, in seconds.
         self._max_remaining_s: dict[str, float] = {}
         # Mean response size of each route, in bytes.
@@ -508,6 +509,16 @@
         await self._stream(exchange, context, reply, attempt, attempt_state)
         return None
 
+    def _own_link_s(self, context: RequestContext, upstream: Upstream) -> float:
+        """Return the time that a response of another instance spends on the own link.
+
+        The responses that wait there now are sent while the request runs elsewhere.
+        """
+        size = self._sizes.get(context.route.name, 0.0)
+        if upstream.address.host == self._address.host or not self._pacer.paces(size):
+            return 0.0
+        return self._pacer.transfer_s(size)
+
     def _new_attempt(self, context: RequestContext, upstream: Upstream) -> Attempt:
         request, route = context.request, context.route
         return Attempt(
@@ -516,7 +527,7 @@
             upstream=upstream.id,
             host=upstream.address.host,
             deadline=context.deadline - OWNER_MARGIN_S,
-            objective=context.objective,
+            objective=context.objective - self._own_link_s(context, upstream),
             priority=route.priority,
             idempotent=route.idempotent,
             route=route.name,
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -88,7 +88,8 @@
     :param waits_ms: expected queueing delay of a new request by its priority, in
         milliseconds.
     :param link_mbps: bandwidth of the instance's network link, in Mbit/s.
-    :param send_ms: time until all waiting long responses are sent, in milliseconds.
+    :param send_ms: time until the long responses that wait or are expected have been
+        sent, in milliseconds.
     :param advertised: what the upstream states about itself, ``None`` if nothing.
     :param samples: number of requests that ``service_ms`` was measured on, at most
         ``MAX_SAMPLES``. A node of an earlier build does not tell.
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -19,6 +19,7 @@
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.evidence import EvidenceExchange
+from ragwortferry.mesh.forecast import EgressForecast
 from ragwortferry.mesh.frames import MAX_SAMPLES, Advertisement, Load, Warmup
 from ragwortferry.mesh.guard import CrashGuard
 from ragwortferry.mesh.quarantine import Quarantine
@@ -91,6 +92,7 @@
     ):
         self._state = state
         self._pacer = pacer
+        self._forecast = EgressForecast(pacer)
         self._target = target
         self._own_host = own_host
         self._recorder = recorder
@@ -199,7 +201,7 @@
             round(self._failure_ratio, 3),
             {priority: round(delay * 1000, 1) for priority, delay in delays.items()},
             self._pacer.mbps,
-            round(self._pacer.queueing_delay_s * 1000, 1),
+            round(self._forecast.backlog_s * 1000, 1),
             self._advertisement(now),
             min(MAX_SAMPLES, admission.service_samples),
             self._warmup_report(now),
@@ -268,14 +270,15 @@
         :param sink: receives the reply, also that to a refused attempt.
         """
         now = asyncio.get_running_loop().time()
-        send_delay_s, transfer_s = self._send_delays(attempt.route)
+        size = self._sizes.get(attempt.route, 0.0)
+        transfer_s = self._forecast.transfer_s(size)
         job = Job(
             attempt.route,
             attempt.priority,
             attempt.objective - transfer_s,
             attempt.deadline - transfer_s,
             idempotent=attempt.idempotent,
-            send_delay_s=send_delay_s,
+            link_backlog_s=self._forecast.backlog_s if transfer_s else 0.0,
         )
         attempt_state = AttemptState(attempt, sink, job, now)
         job.payload = attempt_state
@@ -285,22 +288,13 @@
             refusal = self._admission.admit(job, now)
             if refusal is None:
                 self._attempts[id(attempt_state)] = attempt_state
+                self._forecast.admit(id(attempt_state), size)
                 self._start_next()
                 return attempt_state
             failure = self._failure_of(refusal)
         self._refuse(attempt_state, failure)
         return None
 
-    def _send_delays(self, route: str) -> tuple[float, float]:
-        """Return how long a response waits for the network link and takes to send.
-
-        Both are 0 for a response that is sent at once.
-        """
-        size = self._sizes.get(route, 0.0)
-        if not self._pacer.paces(size):
-            return 0.0, 0.0
-        return self._pacer.queueing_delay_s, self._pacer.transfer_s(size)
-
     def adopt_advertised(
         self, advertised: Iterable[Advertisement], origin: str
     ) -> None:
@@ -323,12 +317,17 @@
         """
         attempt_state.cancelled = True
         if self._admission.cancel(attempt_state.job):
-            self._attempts.pop(id(attempt_state), None)
+            self._forget(attempt_state)
         elif attempt_state.task is not None and (
             attempt_state.attempt.idempotent or not attempt_state.sent
         ):
             attempt_state.task.cancel()
 
+    def _forget(self, attempt_state: AttemptState) -> None:
+        """Drop an attempt that has ended or was withdrawn."""
+        self._attempts.pop(id(attempt_state), None)
+        self._forecast.end(id(attempt_state))
+
     def _rejection(self, attempt: Attempt, now: float) -> Failure | None:
         """Return why the attempt cannot be queued, ``None`` if it can."""
         if self._target is None:
@@ -377,7 +376,7 @@
         if self._evacuated:
             for job in self._admission.withdraw_all():
                 attempt_state: AttemptState = job.payload
-                self._attempts.pop(id(attempt_state), None)
+                self._forget(attempt_state)
                 failure = self._rejection(
                     attempt_state.attempt, asyncio.get_running_loop().time()
                 )
@@ -442,7 +441,7 @@
 
     def _on_expired(self, job: Job, refusal: Refusal) -> None:
         attempt_state: AttemptState = job.payload
-        self._attempts.pop(id(attempt_state), None)
+        self._forget(attempt_state)
         self._refuse(attempt_state, self._failure_of(refusal))
 
     def _start_next(self) -> None:
@@ -465,7 +464,7 @@
             attempt_state.timed_out,
             attempt_state.sent,
         )
-        self._attempts.pop(id(attempt_state), None)
+        self._forget(attempt_state)
         self._start_next()
 
     def _schedule_expiry(self) -> None:
