Refuse late requests whose long responses would delay others

Cause: at a saturated link, a caller that came back late was admitted with a longer wait than one that could be on time, so the link was full of late responses.

Change: a request that is late on arrival is refused while the link has responses to send that it would delay.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -4,7 +4,9 @@
 objectives. A response that misses its objective takes a slot from one that could meet
 it. So a request that would miss its objective in the queue is refused at once, while
 the caller can still try another upstream or retry later. Requests that are late on
-arrival run after those of their priority that can still be on time.
+arrival run after those of their priority that can still be on time. On a slow network
+link their responses would delay others that can be on time, so they are refused while
+it has such responses to send.
 """
 
 __all__ = ["AdmissionQueue", "Job", "Refusal", "max_wait"]
@@ -194,13 +196,14 @@
         job.late_on_arrival = self._misses_objective(job, now)
         delay = self._queueing_delay(job, now)
         # The link sends the responses before this one while it is queued and running.
-        service_s = self._service_times.get(job.route)
-        delay = max(delay, job.link_backlog_s - service_s)
+        link_delay = job.link_backlog_s - self._service_times.get(job.route)
+        delay = max(delay, link_delay)
         if self._misses_deadline(job, now) and delay == 0:
             job.probe = self._try_probe(job, now)
         if (
             self._misses_deadline(job, now)
             or delay > self._max_wait(job, now)
+            or (job.late_on_arrival and link_delay > 0)
             or not self._passes_zero_limit(job, now)
         ):
             return Refusal(ErrorKind.OVERLOADED, self._retry_after(delay))
