Compare service times of upstreams route by route

Cause: the balancer compared the mean service times of upstreams over all of their requests. One that got mostly short calls looked fast and attracted long requests too; its neighbours looked slow and stayed idle.

Change: owners report the mean service time of the route that they answer, and nodes keep a mean for each route and a slowness for each upstream, which decays within seconds so that a slow one is tried again.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -120,6 +120,9 @@
     def get(self, route: str) -> float:
         return self.by_route.get(route, self.mean_s)
 
+    def get_measured(self, route: str) -> float:
+        return self.by_route.get(route, 0.0)
+
 
 def max_wait(objective_s: float, deadline_s: float, service_s: float) -> float:
     """Return the maximum queueing delay of a request, in seconds.
@@ -171,6 +174,10 @@
         """Return the mean service time of the upstream, in seconds."""
         return self._service_times.mean_s
 
+    def route_service_s(self, route: str) -> float:
+        """Return the mean service time of a route in seconds, 0 if unknown."""
+        return self._service_times.get_measured(route)
+
     @property
     def service_samples(self) -> int:
         """Return the number of service times that were measured."""
--- a/ragwortferry/mesh/balance.py
+++ b/ragwortferry/mesh/balance.py
@@ -22,6 +22,7 @@
 from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.model import Service, Upstream
 from ragwortferry.mesh.ratelimit import MIN_RATE_PER_S
+from ragwortferry.mesh.speeds import SpeedTracker
 from ragwortferry.utils.egress import BYTES_PER_MBIT, MAX_UNPACED_BYTES
 
 # Weight of the newest sample in a moving average.
@@ -124,6 +125,7 @@
         self._link_mbps = link_mbps
         self._rng = rng
         self._stats: dict[str, UpstreamStats] = {}
+        self._speeds = SpeedTracker()
         # Ids of the upstreams whose last report names a limit.
         self._limited: set[str] = set()
         # Ids of the upstreams that were cold when last looked at, of services that
@@ -182,6 +184,8 @@
 
     def forget(self, ids: Iterable[str]) -> None:
         """Drop the statistics of removed upstreams."""
+        ids = list(ids)
+        self._speeds.forget(ids)
         for name in ids:
             self._stats.pop(name, None)
             self._limited.discard(name)
@@ -228,14 +232,14 @@
         return min(shares, key=lambda item: item.rate_per_s, default=None)
 
     def limit_delay(
-        self, upstreams: Iterable[Upstream], now: float, priority: int
+        self, upstreams: Iterable[Upstream], now: float, priority: int, route: str = ""
     ) -> float | None:
         """Return the shortest expected delay at upstreams with a limit, in seconds.
 
         :return: ``None`` if no upstream has one.
         """
         delays = [
-            self.estimate(item, now, priority=priority)[0]
+            self.estimate(item, now, priority=priority, route=route)[0]
             for item in upstreams
             if self._rate_share(item, now) is not None
         ]
@@ -251,6 +255,7 @@
         priority: int = 0,
         objective_left_s: float = NEVER_S,
         deadline_left_s: float = NEVER_S,
+        route: str = "",
     ) -> Upstream | None:
         """Return the upstream with the lowest expected cost, ``None`` if there is none.
 
@@ -262,6 +267,7 @@
         :param priority: priority of the request, 0 is the highest.
         :param objective_left_s: time left until its latency objective.
         :param deadline_left_s: time left until its deadline.
+        :param route: name of its route, empty if unknown.
         """
         byte_penalty = min(MAX_BYTE_PENALTY, BYTE_PENALTY * response_bytes)
         zone_cost = (ZONE_PENALTY + byte_penalty) * objective_s
@@ -269,7 +275,7 @@
         candidates = [item for item in upstreams if item.id not in excluded]
 
         def has_room(item: Upstream) -> bool:
-            delay, service_s = self.estimate(item, now, mean_service_s, priority)
+            delay, service_s = self.estimate(item, now, mean_service_s, priority, route)
             return delay <= max_wait(objective_left_s, deadline_left_s, service_s)
 
         bounded = bool(self._limited or self._cold)
@@ -286,7 +292,9 @@
         def cheapest(items: list[Upstream]) -> Upstream | None:
             best, best_cost = None, float("inf")
             for item in items:
-                cost = self.cost(item, objective_s, now, mean_service_s, priority)
+                cost = self.cost(
+                    item, objective_s, now, mean_service_s, priority, route
+                )
                 cost += self._transfer_s(item, response_bytes, now, mean_service_s)
                 if item.zone != self._zone:
                     cost += zone_cost
@@ -326,13 +334,14 @@
         now: float,
         mean_service_s: float,
         priority: int,
+        route: str = "",
     ) -> float:
         """Return the expected latency at an upstream plus penalties, in seconds.
 
         :param mean_service_s: mean service time of all upstreams of the service.
         """
         stats = self.stats(upstream, now)
-        delay, service_s = self.estimate(upstream, now, mean_service_s, priority)
+        delay, service_s = self.estimate(upstream, now, mean_service_s, priority, route)
         cost = delay + service_s
         if stats.load is not None:
             decay = max(0.0, 1 - (now - stats.reported_at) / FAILURE_MEMORY_S)
@@ -349,19 +358,25 @@
         now: float,
         mean_service_s: float | None = None,
         priority: int = 0,
+        route: str = "",
     ) -> tuple[float, float]:
         """Return the expected queueing delay and service time, in seconds.
 
         :param mean_service_s: mean service time of all upstreams of the service if it
             is known.
+        :param route: route of the request; its service time is compared rather than
+            the mean of all requests once it is known.
         """
         stats = self.stats(upstream, now)
         load = stats.load if now - stats.reported_at < REPORT_TTL_S else None
         share = self._rate_share(upstream, now)
         slots = load.slots if load else upstream.slots
-        service_s = _expected_service_s(load, mean_service_s)
+        service_s = self._speeds.expected(upstream.id, route, now)
+        if service_s is None:
+            service_s = _expected_service_s(load, mean_service_s)
         if now < stats.cold_until:
-            service_s = max(service_s, COLD_FACTOR * (mean_service_s or service_s))
+            mean_s = self._speeds.mean(route) or mean_service_s or service_s
+            service_s = max(service_s, COLD_FACTOR * mean_s)
         at_report = load.running + load.queued if load else 0
         since_report = max(0, stats.in_flight - stats.in_flight_base)
         occupied = max(stats.in_flight, at_report + since_report)
@@ -409,9 +424,16 @@
         stats = self.stats(upstream, now)
         stats.in_flight = max(0, stats.in_flight - 1)
 
-    def record_report(self, upstream: Upstream, load: Load, now: float) -> None:
-        """Record the load that an owner reports about its upstream."""
+    def record_report(
+        self, upstream: Upstream, load: Load, now: float, route: str = ""
+    ) -> None:
+        """Record the load that an owner reports about its upstream.
+
+        :param route: route of the request that the report answers, if it does.
+        """
         stats = self.stats(upstream, now)
+        if route and load.route_ms:
+            self._speeds.record(upstream.id, route, load.route_ms / 1000, now)
         stats.load, stats.reported_at, stats.in_flight_base = load, now, stats.in_flight
         advertised = load.advertised
         if (
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -407,6 +407,7 @@
                 context.route.priority,
                 context.objective - now,
                 context.deadline - now,
+                context.route.name,
             )
 
         selected = self._aperture.select(context.service, known, usable)
@@ -438,7 +439,9 @@
     ) -> Failure | None:
         """Return the refusal if upstreams are left out because of their limits."""
         balancer = self._balancer
-        delay = balancer.limit_delay(upstreams, now, context.route.priority)
+        delay = balancer.limit_delay(
+            upstreams, now, context.route.priority, context.route.name
+        )
         if delay is None:
             return None
         self.refused_for_limit += 1
@@ -466,7 +469,7 @@
         balancer = self._balancer
 
         def on_load(load: Load) -> None:
-            balancer.record_report(upstream, load, loop.time())
+            balancer.record_report(upstream, load, loop.time(), context.route.name)
             self._record_leaving(upstream.address.host, load)
 
         reply = Reply(on_load)
@@ -594,7 +597,7 @@
         if upstream is None:
             return False
         delay, service_s = self._balancer.estimate(
-            upstream, now, priority=route.priority
+            upstream, now, priority=route.priority, route=route.name
         )
         if context.deadline - now < delay + MIN_TIME_FRACTION * service_s:
             return False
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -94,6 +94,8 @@
     :param samples: number of requests that ``service_ms`` was measured on, at most
         ``MAX_SAMPLES``. A node of an earlier build does not tell.
     :param warmup: what the upstream tolerates while it is cold, ``None`` if it is warm.
+    :param route_ms: mean service time of the route of the request that the report
+        answers, in milliseconds, 0 if unknown.
     """
 
     running: int
@@ -108,6 +110,7 @@
     advertised: Advertisement | None = None
     samples: int = MAX_SAMPLES
     warmup: Warmup | None = None
+    route_ms: float = 0.0
 
 
 class Hello(Struct, tag=1, array_like=True):
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -180,8 +180,11 @@
         """Return whether no attempt is queued or running."""
         return not self._attempts
 
-    def load(self) -> Load:
-        """Return the load report about the upstream for other nodes."""
+    def load(self, route: str = "") -> Load:
+        """Return the load report about the upstream for other nodes.
+
+        :param route: route of the request that the report answers, if it does.
+        """
         admission = self._admission
         now = asyncio.get_running_loop().time()
         accepting = (
@@ -205,8 +208,13 @@
             self._advertisement(now),
             min(MAX_SAMPLES, admission.service_samples),
             self._warmup_report(now),
+            round(admission.route_service_s(route) * 1000, 1),
         )
 
+    def _load_for(self, attempt_state: AttemptState) -> Load:
+        """Return the load report that goes with the reply to an attempt."""
+        return self.load(attempt_state.attempt.route)
+
     @property
     def _evacuated(self) -> bool:
         """Return whether the zone of the upstream is evacuated."""
@@ -406,7 +414,7 @@
     def _refuse(self, attempt_state: AttemptState, failure: Failure) -> None:
         self.refused += 1
         self._record(attempt_state, failure, 0)
-        attempt_state.sink.on_reply_failed(failure, self.load())
+        attempt_state.sink.on_reply_failed(failure, self._load_for(attempt_state))
 
     def _record(
         self,
@@ -582,9 +590,9 @@
             await self._guard.wait_for_search()
         self._record(attempt_state, failure, response.status, response.size)
         if failure is None:
-            attempt_state.sink.on_reply_end(self.load())
+            attempt_state.sink.on_reply_end(self._load_for(attempt_state))
         else:
-            attempt_state.sink.on_reply_failed(failure, self.load())
+            attempt_state.sink.on_reply_failed(failure, self._load_for(attempt_state))
 
     async def _send(
         self,
--- a/ragwortferry/mesh/tests/test_placement.py
+++ b/ragwortferry/mesh/tests/test_placement.py
@@ -57,7 +57,7 @@
     def at(self, when, call, *args):
         heapq.heappush(self._events, (when, next(self._sequence), call, args))
 
-    def load(self, number):
+    def load(self, number, route_ms=0.0):
         owner, limit = self.owners[number], self.limits[number]
         advertised = None
         if limit is not None:
@@ -71,6 +71,8 @@
             service_ms=owner.service_s * 1000,
             waits_ms={key: delay * 1000 for key, delay in delays.items()},
             advertised=advertised,
+            samples=owner.service_samples,
+            route_ms=route_ms,
         )
 
     def run(self, rate, seconds):
