Use no entry of a process whose address another one has taken

Cause: entries of crashed upstreams stay for three heartbeats.

Change: of several upstreams at one address only the one that started last is available. Test data gives upstreams different ports.

--- a/ragwortferry/mesh/state.py
+++ b/ragwortferry/mesh/state.py
@@ -17,6 +17,7 @@
 from ragwortferry.mesh.history import DocumentChange, DocumentHistory
 from ragwortferry.mesh.model import Document, Upstream
 from ragwortferry.mesh.zones import Evacuations
+from ragwortferry.utils.sockets import Address
 
 # Maximum number of removals that are kept; more than can be in flight between two
 # nodes.
@@ -153,15 +154,30 @@
     def _available(self) -> dict[str, list[Upstream]]:
         if self._by_service is None:
             self._by_service = {}
+            newest = self._newest_by_address()
             for item in self._upstreams.values():
                 if (
                     not item.draining
                     and item.id not in self._leaving
                     and not self.evacuations.includes(item.zone)
+                    and newest[item.address] is item
                 ):
                     self._by_service.setdefault(item.service, []).append(item)
         return self._by_service
 
+    def _newest_by_address(self) -> dict[Address, Upstream]:
+        """Return the upstream that was registered last at each address.
+
+        The entry of a process that has crashed stays for some heartbeats, while the
+        next one listens at its address.
+        """
+        newest: dict[Address, Upstream] = {}
+        for item in self._upstreams.values():
+            known = newest.get(item.address)
+            if known is None or _start_key(item) > _start_key(known):
+                newest[item.address] = item
+        return newest
+
     def available_upstreams(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get requests.
 
@@ -343,3 +359,8 @@
         )
         for callback in self.on_registry:
             callback(applied)
+
+
+def _start_key(item: Upstream) -> tuple[int, int]:
+    """Return the sort key of the start of an upstream; the clock may be unknown."""
+    return item.born_ms, item.revision
--- a/ragwortferry/mesh/tests/test_state.py
+++ b/ragwortferry/mesh/tests/test_state.py
@@ -8,6 +8,7 @@
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.config import decode_document
 from ragwortferry.tests.mesh_builders import a_config, an_upstream, null_log
+from ragwortferry.utils.sockets import Address
 
 
 @pytest.fixture
@@ -112,3 +113,16 @@
         assert node.apply_registry(ahead.changes_since(revision), "peer")
         assert node.upstreams == ahead.upstreams
         assert node.revision == ahead.revision
+
+
+def test_entry_of_a_crashed_upstream_is_not_used_beside_that_of_its_successor():
+    """Guards against requests for a process whose address another one has taken."""
+    state = MeshState(decode_document, null_log())
+    address = Address("10.0.0.2", 8147)
+    old = an_upstream("old", address=address, born_ms=1000, revision=8)
+    new = an_upstream("new", address=address, born_ms=2000, revision=9)
+    elsewhere = an_upstream("other", revision=3)
+    state.apply_registry(RegistryChange(0, 9, [old, new, elsewhere]), "store")
+    assert {u.id for u in state.available_upstreams("tablero")} == {"new", "other"}
+    state.apply_registry(RegistryChange(9, 10, [], {"new": 10}), "store")
+    assert {u.id for u in state.available_upstreams("tablero")} == {"old", "other"}
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -21,6 +21,7 @@
 import itertools
 import json
 import random
+import zlib
 
 from ragwortferry.logs import Log, LogContext
 from ragwortferry.mesh.attempt import Attempt
@@ -43,10 +44,10 @@
 
 
 def an_upstream(name: str = "i-1", **changes) -> Upstream:
-    """Return a registered upstream."""
+    """Return a registered upstream; the port depends on its name."""
     values = {
         "service": "tablero",
-        "address": Address("10.0.0.1", 8147),
+        "address": Address("10.0.0.1", 8000 + zlib.crc32(name.encode()) % 50_000),
         "zone": "a",
         "slots": 4,
         "draining": False,
