Put calls of running requests before new requests

Cause: a request holds its slot while its calls run, and a refused call throws its work away; nobody repeats the call.

Change: a node recognizes the routes by which its upstream makes calls: they never come while the upstream runs nothing, at times at which other routes do.

--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -70,6 +70,7 @@
         queueing.
     :param wait_until: time at which a request that is late on arrival leaves the queue.
     :param probe: whether it tests if a slow upstream has recovered.
+    :param call: whether a request that is running elsewhere waits for it.
     """
 
     route: str
@@ -84,6 +85,7 @@
     late_on_arrival: bool = False
     wait_until: float = float("inf")
     probe: bool = False
+    call: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -381,9 +383,10 @@
         objective_s = float("-inf") if job.late_on_arrival else job.objective_at - now
         return max_wait(objective_s, job.deadline_at - now, service_s)
 
-    def _sort_key(self, job: Job, now: float) -> tuple[int, bool, float]:
+    def _sort_key(self, job: Job, now: float) -> tuple[int, bool, bool, float]:
         late = self._misses_objective(job, now)
-        return job.priority, late, job.deadline_at if late else job.objective_at
+        at = job.deadline_at if late else job.objective_at
+        return job.priority, late, not job.call, at
 
     def _queueing_delay(self, job: Job, now: float) -> float:
         """Return the expected queueing delay of a new job, in seconds.
--- a/ragwortferry/mesh/attempt.py
+++ b/ragwortferry/mesh/attempt.py
@@ -44,6 +44,7 @@
     :param caller: service of the instance on which the request originated.
     :param target: request target: path and query string.
     :param trial: whether it runs although upstreams have crashed under the request.
+    :param call: whether a request that is running elsewhere waits for it.
     """
 
     key: str
@@ -62,6 +63,7 @@
     headers: Headers
     body: bytes
     trial: bool = False
+    call: bool = False
 
 
 class ReplySink(Protocol):
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -18,6 +18,7 @@
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.balance import Balancer
 from ragwortferry.mesh.budget import RetryBudget
+from ragwortferry.mesh.calls import CallRoutes, call_objective
 from ragwortferry.mesh.fingerprint import RequestKind
 from ragwortferry.mesh.frames import Advertisement, Load
 from ragwortferry.mesh.model import Document, Limits, Route, Upstream
@@ -103,6 +104,7 @@
         run, and the caller must not get a not-run error.
     :param limits: limits because of which no further upstream was tried.
     :param trial: whether it runs although upstreams have crashed under it.
+    :param is_call: whether the upstream of this instance probably sent it.
     """
 
     request: Request
@@ -122,6 +124,7 @@
     response: Reply | None = None
     limits: list[dict] = field(default_factory=list)
     trial: bool = False
+    is_call: bool = False
 
 
 class Entry:
@@ -167,6 +170,7 @@
         self._sequence = itertools.count(1)
         self._budgets: dict[str, RetryBudget] = {}
         self._splitter = TrafficSplitter(rng)
+        self._calls = CallRoutes()
         self._server = Server(self._handle, address.host, address.port, pacer)
         self._pacer = pacer
         # Maximum timeout of requests seen on each route, in seconds.
@@ -189,6 +193,11 @@
         """Return the number of upstreams known to have a limit."""
         return self._balancer.limited_count
 
+    @property
+    def call_routes(self) -> list[str]:
+        """Return the routes by which the upstream of this instance makes calls."""
+        return self._calls.names
+
     @property
     def cold_count(self) -> int:
         """Return the number of cold upstreams whose rate is bounded."""
@@ -314,6 +323,10 @@
             )
             return
         now = asyncio.get_running_loop().time()
+        self._calls.record(route.name, self._owner.running)
+        if self._calls.includes(route.name):
+            context.is_call = True
+            context.objective = call_objective(context.objective, context.deadline, now)
         self._budget(context.service).record_request(route.name, now)
         context.failure = self._quarantine_failure(context, now)
         if context.failure is not None:
@@ -548,6 +561,7 @@
             headers=end_to_end(request.headers),
             body=request.body,
             trial=context.trial,
+            call=context.is_call,
         )
 
     def _cancel(self, attempt: Attempt, attempt_state: AttemptState | None) -> None:
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -186,6 +186,7 @@
     :param version: version of the configuration that the request is routed by.
     :param caller: service of the instance whose node received the request.
     :param trial: whether to run it although it is known to crash upstreams.
+    :param call: whether a request that is running elsewhere waits for it.
     """
 
     key: str
@@ -203,6 +204,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     trial: bool = False
+    call: bool = False
 
 
 class Cancel(Struct, tag=5, array_like=True):
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -327,6 +327,7 @@
     metrics.add_gauge("links", lambda: peers.connected_count)
     metrics.add_gauge("in_flight", lambda: entry.in_flight)
     metrics.add_gauge("upstreams_limited", lambda: entry.limited_count)
+    metrics.add_gauge("call_routes", lambda: len(entry.call_routes))
     metrics.add_gauge("upstreams_cold", lambda: entry.cold_count)
     metrics.add_gauge("entry_refused_for_limit", lambda: entry.refused_for_limit)
     metrics.add_gauge("owner_running", lambda: owner.load().running)
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -175,6 +175,11 @@
         """Return the number of attempts refused because they crash upstreams."""
         return self._guard.refused if self._guard else 0
 
+    @property
+    def running(self) -> int:
+        """Return the number of requests that the upstream is processing."""
+        return self._admission.running
+
     @property
     def idle(self) -> bool:
         """Return whether no attempt is queued or running."""
@@ -286,6 +291,7 @@
             attempt.objective - transfer_s,
             attempt.deadline - transfer_s,
             idempotent=attempt.idempotent,
+            call=attempt.call,
             link_backlog_s=self._forecast.backlog_s if transfer_s else 0.0,
         )
         attempt_state = AttemptState(attempt, sink, job, now)
--- a/ragwortferry/mesh/recording.py
+++ b/ragwortferry/mesh/recording.py
@@ -66,6 +66,8 @@
             return
         document = context.document
         details = {"limits": context.limits} if context.limits else {}
+        if context.is_call:
+            details["call"] = True
         self._log.event(
             "request",
             "request ended",
--- a/ragwortferry/mesh/remote.py
+++ b/ragwortferry/mesh/remote.py
@@ -102,6 +102,7 @@
         headers=attempt.headers,
         body=attempt.body,
         trial=attempt.trial,
+        call=attempt.call,
     )
 
 
@@ -128,6 +129,7 @@
         headers=frame.headers,
         body=frame.body,
         trial=frame.trial,
+        call=frame.call,
     )
 
 
--- a/ragwortferry/mesh/tests/test_entry.py
+++ b/ragwortferry/mesh/tests/test_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import pytest
 
@@ -86,7 +87,7 @@
         state,
         Aperture("10.0.0.1", "a"),
         balancer,
-        None,
+        SimpleNamespace(running=0),
         peers,
         a_pacer(),
         quarantine or Quarantine("10.0.0.1"),
