Bound the memory that callers cost who do not read their responses

Cause: responses were held for callers without a limit: 64 pipelined requests of a connection that is never read hold 64 responses.

Gauges state what is held and how many callers were disconnected.

--- a/ragwortferry/http1/server.py
+++ b/ragwortferry/http1/server.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from ragwortferry.http1.backlog import Backlog
 from ragwortferry.http1.messages import Headers, Request, encode_response_head
 from ragwortferry.utils.egress import EgressPacer, Stream
 from ragwortferry.utils.sockets import listen
@@ -68,6 +69,11 @@
         self.close_after = not request.keep_alive
         self.task: asyncio.Task | None = None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the bytes that wait for the responses to earlier requests."""
+        return sum(len(data) for data in self._buffered)
+
     @property
     def is_first(self) -> bool:
         """Return whether the responses to all earlier requests are complete."""
@@ -147,6 +153,8 @@
         self._writable.set()
         # Output that is queued for the network link.
         self._stream: Stream | None = None
+        # Bytes handed to the transport so far.
+        self._written_bytes = 0
         self._reset_request()
         self.last_active_at = self._loop.time()
 
@@ -175,6 +183,19 @@
         """Return whether the write buffer is above its high-water mark."""
         return not self._writable.is_set()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of responses that the caller has not taken yet."""
+        unsent = self._transport.get_write_buffer_size() if self._transport else 0
+        waiting = sum(exchange.buffered_bytes for exchange in self._pending)
+        return unsent + waiting + self._queued_bytes
+
+    @property
+    def taken_bytes(self) -> int:
+        """Return the bytes that have left this process for the caller so far."""
+        unsent = self._transport.get_write_buffer_size() if self._transport else 0
+        return self._written_bytes - unsent
+
     @property
     def _queued_bytes(self) -> int:
         return self._stream.queued_bytes if self._stream else 0
@@ -313,6 +334,7 @@
     def write_piece(self, data: bytes) -> None:
         """Write bytes to the transport if it is still open."""
         if self._transport and not self._transport.is_closing():
+            self._written_bytes += len(data)
             self._transport.write(data)
 
     def send_finished(self) -> None:
@@ -395,10 +417,16 @@
 
     :param handler: sends the response of each exchange; it must not raise.
     :param pacer: paces long responses on a slow network link, ``None`` for no pacing.
+    :param held_limit_bytes: most bytes of responses to hold for all callers together.
     """
 
     def __init__(
-        self, handler: Handler, host: str, port: int, pacer: EgressPacer | None = None
+        self,
+        handler: Handler,
+        host: str,
+        port: int,
+        pacer: EgressPacer | None = None,
+        held_limit_bytes: float = float("inf"),
     ):
         self._handler = handler
         self.pacer = pacer
@@ -406,11 +434,19 @@
         self._port = port
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.Task | None = None
+        self._backlog = Backlog(held_limit_bytes)
         self.limits = ServerLimits()
+        # Connections closed because their callers did not read.
+        self.stalled = 0
         self.connections: set[CallerConnection] = set()
         self.draining = False
         self.closed = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of responses that callers had not taken when last looked."""
+        return self._backlog.size
+
     async def start(self) -> None:
         """Start to listen.
 
@@ -449,3 +485,11 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             for connection in list(self.connections):
                 connection.sweep(loop.time())
+            self._close_stalled(loop.time())
+
+    def _close_stalled(self, now: float) -> None:
+        """Close the connections of callers that hold too much memory."""
+        held = {c: (c.held_bytes, c.taken_bytes) for c in self.connections}
+        for connection in self._backlog.observe(held, now):
+            self.stalled += 1
+            connection.abort()
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -136,6 +136,7 @@
     :param service: service of this instance, sent to upstreams as the caller's.
     :param key_prefix: prefix of the attempt keys, unique to this process.
     :param node_count: returns the number of nodes that share the retry budget.
+    :param held_limit_bytes: most bytes to hold for callers that do not read.
     """
 
     def __init__(
@@ -154,6 +155,7 @@
         bounds: Bounds,
         rng: random.Random,
         node_count,
+        held_limit_bytes: float = float("inf"),
     ):
         self._state = state
         self._aperture = aperture
@@ -171,7 +173,9 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._splitter = TrafficSplitter(rng)
         self._calls = CallRoutes()
-        self._server = Server(self._handle, address.host, address.port, pacer)
+        self._server = Server(
+            self._handle, address.host, address.port, pacer, held_limit_bytes
+        )
         self._pacer = pacer
         # Maximum timeout of requests seen on each route, in seconds.
         self._max_remaining_s: dict[str, float] = {}
@@ -193,6 +197,16 @@
         """Return the number of upstreams known to have a limit."""
         return self._balancer.limited_count
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of responses that callers have not taken yet."""
+        return self._server.held_bytes
+
+    @property
+    def stalled_callers(self) -> int:
+        """Return how many connections were closed since their callers did not read."""
+        return self._server.stalled
+
     @property
     def call_routes(self) -> list[str]:
         """Return the routes by which the upstream of this instance makes calls."""
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -53,6 +53,9 @@
 # Shortest suspension after which all links are closed, since what is known about the
 # peers is outdated.
 MIN_SUSPENSION_S = 1.5
+# Part of the memory of the instance for responses that callers do not read. A node uses
+# about 40 MB; the rest is for what it holds for upstreams and peers.
+HELD_MEMORY_FRACTION, BYTES_PER_MB = 0.2, 1_000_000
 # Time that the services have to stop.
 STOP_TIMEOUT_S = 2.0
 # The deployment file has the same port.
@@ -181,6 +184,7 @@
                 settings.bounds,
                 self._rng,
                 lambda: relay.node_count,
+                HELD_MEMORY_FRACTION * settings.memory_mb * BYTES_PER_MB,
             ),
         )
         reader = kernel.add(
@@ -327,6 +331,8 @@
     metrics.add_gauge("links", lambda: peers.connected_count)
     metrics.add_gauge("in_flight", lambda: entry.in_flight)
     metrics.add_gauge("upstreams_limited", lambda: entry.limited_count)
+    metrics.add_gauge("entry_held_bytes", lambda: entry.held_bytes)
+    metrics.add_gauge("entry_stalled_callers", lambda: entry.stalled_callers)
     metrics.add_gauge("call_routes", lambda: len(entry.call_routes))
     metrics.add_gauge("upstreams_cold", lambda: entry.cold_count)
     metrics.add_gauge("entry_refused_for_limit", lambda: entry.refused_for_limit)
