--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission.py
@@ -17,6 +17,7 @@
 from ragwortferry.exceptions import ErrorKind
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.ratelimit import RateLimit
+from ragwortferry.mesh.returns import Standing
 
 # Weight of the newest sample in a moving average.
 SMOOTHING = 0.1
@@ -70,7 +71,7 @@
         queueing.
     :param wait_until: time at which a request that is late on arrival leaves the queue.
     :param probe: whether it tests if a slow upstream has recovered.
-    :param call: whether a request that is running elsewhere waits for it.
+    :param standing: its place among requests of its priority.
     """
 
     route: str
@@ -85,7 +86,7 @@
     late_on_arrival: bool = False
     wait_until: float = float("inf")
     probe: bool = False
-    call: bool = False
+    standing: Standing = Standing.NEW
 
 
 @dataclass(frozen=True, slots=True)
@@ -379,14 +380,16 @@
 
     def _max_wait(self, job: Job, now: float) -> float:
         """Return the maximum queueing delay of a new job, in seconds."""
+        if job.standing is Standing.EARLY:
+            return 0.0
         service_s = self._service_times.get(job.route)
         objective_s = float("-inf") if job.late_on_arrival else job.objective_at - now
         return max_wait(objective_s, job.deadline_at - now, service_s)
 
-    def _sort_key(self, job: Job, now: float) -> tuple[int, bool, bool, float]:
+    def _sort_key(self, job: Job, now: float) -> tuple[int, bool, int, float]:
         late = self._misses_objective(job, now)
         at = job.deadline_at if late else job.objective_at
-        return job.priority, late, not job.call, at
+        return job.priority, late, job.standing, at
 
     def _queueing_delay(self, job: Job, now: float) -> float:
         """Return the expected queueing delay of a new job, in seconds.
--- a/ragwortferry/mesh/attempt.py
+++ b/ragwortferry/mesh/attempt.py
@@ -9,6 +9,7 @@
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.http1.messages import Headers
 from ragwortferry.mesh.frames import Load
+from ragwortferry.mesh.returns import Standing
 from ragwortferry.mesh.window import Window
 
 
@@ -44,7 +45,7 @@
     :param caller: service of the instance on which the request originated.
     :param target: request target: path and query string.
     :param trial: whether it runs although upstreams have crashed under the request.
-    :param call: whether a request that is running elsewhere waits for it.
+    :param standing: its place among requests of its priority.
     """
 
     key: str
@@ -63,7 +64,7 @@
     headers: Headers
     body: bytes
     trial: bool = False
-    call: bool = False
+    standing: Standing = Standing.NEW
 
 
 class ReplySink(Protocol):
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 import msgspec
@@ -27,6 +28,7 @@
 from ragwortferry.mesh.quarantine import Quarantine, Ruling
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.response import AttemptState
+from ragwortferry.mesh.returns import CallerKey, ReturnBook, Standing
 from ragwortferry.mesh.splits import TrafficSplitter
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
@@ -93,6 +95,8 @@
     :param deadline: loop time at which the final response is due.
     :param objective: loop time until which a response meets the latency objective,
         counted from the caller's first attempt.
+    :param caller_deadline: loop time until which the caller waits; the same for its
+        repetitions.
     :param tried: ids of the upstreams that were tried.
     :param attempts: log record of each attempt.
     :param arrivals: number of attempts that were sent to an upstream.
@@ -104,7 +108,7 @@
         run, and the caller must not get a not-run error.
     :param limits: limits because of which no further upstream was tried.
     :param trial: whether it runs although upstreams have crashed under it.
-    :param is_call: whether the upstream of this instance probably sent it.
+    :param standing: its place among requests of its priority.
     """
 
     request: Request
@@ -114,6 +118,7 @@
     service: str
     deadline: float
     objective: float
+    caller_deadline: float = 0.0
     tried: list[str] = field(default_factory=list)
     attempts: list[dict] = field(default_factory=list)
     arrivals: int = 0
@@ -124,7 +129,7 @@
     response: Reply | None = None
     limits: list[dict] = field(default_factory=list)
     trial: bool = False
-    is_call: bool = False
+    standing: Standing = Standing.NEW
 
 
 class Entry:
@@ -173,6 +178,9 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._splitter = TrafficSplitter(rng)
         self._calls = CallRoutes()
+        self._returns = ReturnBook(rng)
+        # Requests by their standing.
+        self.standings: Counter[str] = Counter()
         self._server = Server(
             self._handle, address.host, address.port, pacer, held_limit_bytes
         )
@@ -327,6 +335,7 @@
             request.arrived
             + route.objective_s
             - self._elapsed_before(route, remaining_s),
+            request.arrived + remaining_s,
         )
         if context.deadline > self._ends_at:
             self._respond_error(
@@ -339,8 +348,11 @@
         now = asyncio.get_running_loop().time()
         self._calls.record(route.name, self._owner.running)
         if self._calls.includes(route.name):
-            context.is_call = True
+            context.standing = Standing.CALL
             context.objective = call_objective(context.objective, context.deadline, now)
+        else:
+            context.standing = self._returns.standing(_caller_key(context), now)
+        self.standings[context.standing.name.lower()] += 1
         self._budget(context.service).record_request(route.name, now)
         context.failure = self._quarantine_failure(context, now)
         if context.failure is not None:
@@ -575,7 +587,7 @@
             headers=end_to_end(request.headers),
             body=request.body,
             trial=context.trial,
-            call=context.is_call,
+            standing=context.standing,
         )
 
     def _cancel(self, attempt: Attempt, attempt_state: AttemptState | None) -> None:
@@ -664,6 +676,8 @@
             self._respond_failed(exchange, context)
             return
         exchange.respond(reply.status, reply.headers, reply.read())
+        now = asyncio.get_running_loop().time()
+        self._returns.record_served(context.service, now)
         self._recorder.request(context, reply.status, "", Outcome.RAN, True)
 
     def _respond_failed(self, exchange: Exchange, context: RequestContext) -> None:
@@ -677,17 +691,26 @@
             outcome = Outcome.UNKNOWN
         else:
             kind = failure.kind if failure else ErrorKind.NO_UPSTREAM
-            retry_after_s = failure.retry_after_s if failure else 0.0
-            self._respond_error(
-                exchange,
-                context.request_id,
-                kind,
-                retry_after_s or DEFAULT_RETRY_AFTER_S,
-            )
+            retry_after_s = self._retry_after(context, failure)
+            self._respond_error(exchange, context.request_id, kind, retry_after_s)
             outcome = Outcome.NOT_RUN
         status = ERROR_RESPONSES[kind].status
         self._recorder.request(context, status, str(kind), outcome, True)
 
+    def _retry_after(self, context: RequestContext, failure: Failure | None) -> float:
+        """Return when the caller of a refused request may return, in seconds."""
+        wait_s = failure.retry_after_s if failure else 0.0
+        wait_s = wait_s or DEFAULT_RETRY_AFTER_S
+        if failure is None or failure.kind is ErrorKind.QUARANTINED:
+            return wait_s
+        return self._returns.promise(
+            _caller_key(context),
+            context.service,
+            wait_s,
+            asyncio.get_running_loop().time(),
+            loaded=failure.kind in _OVERLOAD_KINDS,
+        )
+
     def _respond_error(
         self, exchange: Exchange, request_id: str, kind: ErrorKind, retry_after_s: float
     ) -> None:
@@ -738,6 +761,13 @@
         self._recorder.request(context, reply.status, error, Outcome.RAN, complete)
 
 
+def _caller_key(context: RequestContext) -> CallerKey:
+    """Return what identifies the caller of a request when it repeats it."""
+    request = context.request
+    content = hash((request.method, request.target))
+    return CallerKey(content, context.caller_deadline)
+
+
 def _caller_timeout_s(request: Request, default: float) -> float:
     """Return the caller's timeout in seconds, ``default`` if it sends no valid one."""
     text = get_header(request.headers, DEADLINE_HEADER)
--- a/ragwortferry/mesh/frames.py
+++ b/ragwortferry/mesh/frames.py
@@ -37,6 +37,7 @@
 
 from ragwortferry.mesh.fingerprint import RequestKind
 from ragwortferry.mesh.model import Upstream
+from ragwortferry.mesh.returns import Standing
 
 # Largest number of samples that a load report states.
 MAX_SAMPLES = 1_000
@@ -186,7 +187,7 @@
     :param version: version of the configuration that the request is routed by.
     :param caller: service of the instance whose node received the request.
     :param trial: whether to run it although it is known to crash upstreams.
-    :param call: whether a request that is running elsewhere waits for it.
+    :param standing: value of a :class:`~ragwortferry.mesh.returns.Standing`.
     """
 
     key: str
@@ -204,7 +205,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     trial: bool = False
-    call: bool = False
+    standing: int = Standing.NEW
 
 
 class Cancel(Struct, tag=5, array_like=True):
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -207,6 +207,9 @@
         kernel.add("pages", Server(self._serve_metrics, settings.host, METRICS_PORT))
         _register_gauges(metrics, state, owner, peers, entry, store, quarantine)
         metrics.add_counters("link_bytes", "message", lambda: pacer.bytes_by_kind)
+        metrics.add_counters(
+            "requests_by_standing", "standing", lambda: entry.standings
+        )
         metrics.add_gauges("links_by_reason", "reason", lambda: peers.count_by_reason)
         metrics.add_gauge("links_accepted", lambda: peers.accepted_count)
         metrics.add_gauge("egress_delay_ms", lambda: pacer.queueing_delay_s * 1000)
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -291,7 +291,7 @@
             attempt.objective - transfer_s,
             attempt.deadline - transfer_s,
             idempotent=attempt.idempotent,
-            call=attempt.call,
+            standing=attempt.standing,
             link_backlog_s=self._forecast.backlog_s if transfer_s else 0.0,
         )
         attempt_state = AttemptState(attempt, sink, job, now)
--- a/ragwortferry/mesh/recording.py
+++ b/ragwortferry/mesh/recording.py
@@ -10,6 +10,7 @@
 from ragwortferry.logs import Log
 from ragwortferry.mesh.attempt import Attempt, Failure
 from ragwortferry.mesh.metrics import NodeMetrics
+from ragwortferry.mesh.returns import Standing
 from ragwortferry.utils.pacing import TokenBucket
 
 if TYPE_CHECKING:
@@ -66,8 +67,8 @@
             return
         document = context.document
         details = {"limits": context.limits} if context.limits else {}
-        if context.is_call:
-            details["call"] = True
+        if context.standing is not Standing.NEW:
+            details["standing"] = context.standing.name.lower()
         self._log.event(
             "request",
             "request ended",
--- a/ragwortferry/mesh/remote.py
+++ b/ragwortferry/mesh/remote.py
@@ -9,10 +9,12 @@
 from ragwortferry.mesh.attempt import Attempt, Failure
 from ragwortferry.mesh.frames import Data, End, Failed, Head, Load, Submit
 from ragwortferry.mesh.link import Link
+from ragwortferry.mesh.returns import Standing
 from ragwortferry.mesh.window import Window
 from ragwortferry.utils.egress import PIECE_BYTES, Stream
 
 _ERROR_KINDS = frozenset(str(kind) for kind in ErrorKind)
+_STANDINGS = frozenset(Standing)
 
 
 class LinkSink:
@@ -102,7 +104,7 @@
         headers=attempt.headers,
         body=attempt.body,
         trial=attempt.trial,
-        call=attempt.call,
+        standing=int(attempt.standing),
     )
 
 
@@ -129,10 +131,15 @@
         headers=frame.headers,
         body=frame.body,
         trial=frame.trial,
-        call=frame.call,
+        standing=_standing(frame.standing),
     )
 
 
+def _standing(value: int) -> Standing:
+    """Return a standing; a node of another build may name one that is unknown here."""
+    return Standing(value) if value in _STANDINGS else Standing.NEW
+
+
 def failure_from_frame(frame: Failed) -> Failure:
     """Return the failure that a message reports.
 
--- a/ragwortferry/mesh/tests/test_calls.py
+++ b/ragwortferry/mesh/tests/test_calls.py
@@ -6,6 +6,7 @@
 
 from ragwortferry.mesh.admission import AdmissionQueue, Job
 from ragwortferry.mesh.calls import CallRoutes, call_objective
+from ragwortferry.mesh.returns import Standing
 
 CALL_S, CALL_OBJECTIVE_S, CALL_DEADLINE_S = 0.031, 0.128, 0.426
 OWN_S, OWN_OBJECTIVE_S, OWN_DEADLINE_S = 0.087, 0.319, 1.276
@@ -75,7 +76,8 @@
             objective, deadline = now + CALL_OBJECTIVE_S, now + CALL_DEADLINE_S
             if recognized:
                 objective = call_objective(objective, deadline, now)
-            job = Job("call", 1, objective, deadline, idempotent=True, call=recognized)
+            standing = Standing.CALL if recognized else Standing.NEW
+            job = Job("call", 1, objective, deadline, standing=standing)
         else:
             job = Job("own", 1, now + OWN_OBJECTIVE_S, now + OWN_DEADLINE_S)
         if queue.admit(job, now) is not None:
