Play cold upstreams and evacuations in the soak

Cause: an upstream that started again between two requests was taken for warm until its registry entry came; no failed connection had shown the restart.

Change: the loss of all connections counts as a possible restart where the service bounds cold upstreams. In the soak every upstream that crashes returns cold, zones are evacuated at random, and one is after the last fault; no cold upstream may get more than its bound, whatever else has failed.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -25,6 +25,7 @@
 import aiohttp
 import fire
 
+from benchmarks.cold_zones import BOUNDS, COLD_PER_S, COLD_START_S, ColdZones
 from benchmarks.crashers import Crasher, check_crashers
 from benchmarks.delayed import DelayedActions
 from benchmarks.figures import Figures, Sample, second_of, write_figures
@@ -107,7 +108,10 @@
             "idle_timeout_s": 15,
         },
         "listeners": [{"host": "boards.example", "rules": rules}],
-        "clusters": [{"name": name} for name in services],
+        "clusters": [
+            {"name": name, "cold_per_s": COLD_PER_S, "cold_start_s": COLD_START_S}
+            for name in services
+        ],
     }
 
 
@@ -134,6 +138,7 @@
         self._disturbances: dict[str, list[float]] = {}
         self.episodes: list[Episode] = []
         self.crashers: list[Crasher] = []
+        self.cold_zones = ColdZones(mesh)
         # Running repetitions of crashers, and the downtime of each crashed upstream.
         self.repetitions: list[asyncio.Task] = []
         self._down_s: dict[tuple[str, int], float] = {}
@@ -287,6 +292,7 @@
                     )
                     if time.monotonic() - upstream.crashes[-1][0] >= down_s:
                         self._end_departure(upstream)
+                        self.cold_zones.begin_cold(machine)
                         await self.mesh.restart_upstream(machine, new_id=False)
 
     def _end_departure(self, upstream: UpstreamStandin) -> None:
@@ -377,6 +383,7 @@
         check_calls(self.mesh, self.calls, self.findings)
         check_versions(self.mesh, self.findings)
         check_crashers(self.mesh, self.crashers, self.findings)
+        self.cold_zones.check_cold(self.findings)
         check_statements(self.episodes, self.calls, self._disturbances, self.findings)
         for machine in self.mesh.machines:
             for line in self.mesh.events(machine, "error"):
@@ -400,6 +407,7 @@
             "limits": sum(item.limit_per_s is not None for item in self.episodes),
             "departures": sum(item.limit_per_s is None for item in self.episodes),
             "crashers": len(self.crashers),
+            "cold": len(self.cold_zones.cold),
             "crashes": sum(len(m.upstream.crashes) for m in self.mesh.machines),
             "faults": dict(self.faults),
             "violations": dict(self.findings.violations),
@@ -612,6 +620,26 @@
     soak.delayed.add(end, EPISODE_RANGE_S)
 
 
+@FAULTS.register("evacuate")
+async def _evacuate(soak: Soak) -> None:
+    """Evacuate a zone for a while."""
+    zone = soak.rng.choice(ZONES)
+    await soak.mesh.evacuate(zone)
+
+    async def restore() -> None:
+        await soak.mesh.restore(zone)
+
+    soak.delayed.add(restore)
+
+
+@FAULTS.register("cold")
+async def _cold(soak: Soak) -> None:
+    """Crash an upstream, which then returns cold."""
+    machine = soak.pick_machine()
+    if machine is not None and not machine.upstream.crashed:
+        await machine.upstream.crash()
+
+
 @FAULTS.register("leave")
 async def _leave(soak: Soak) -> None:
     """Let an upstream say that it leaves, whatever the registry says of it.
@@ -645,7 +673,7 @@
 
 async def run_seed(seed: int, seconds: float, processes: int, folder: Path) -> Soak:
     """Run one seed and return the state of the run with its findings."""
-    mesh = Mesh(folder, 250, network=Network())
+    mesh = Mesh(folder, 250, bounds=BOUNDS, network=Network())
     soak = Soak(mesh, seed)
     try:
         await soak.start(processes)
@@ -666,6 +694,8 @@
         await asyncio.gather(*load, *soak.repetitions)
         await soak.recover()
         soak.check()
+        zone = soak.rng.choice(ZONES)
+        await soak.cold_zones.check_evacuation(zone, soak.findings)
     finally:
         for machine in mesh.machines:
             if machine.process and machine.process.returncode is None:
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -563,6 +563,9 @@
         if failure := self._quarantine(attempt_state, loop.time()):
             self._refuse(attempt_state, failure)
             return
+        if self._warmup.bounded and not self._pool.has_open:
+            # All connections were lost: the upstream may have started again.
+            self._warmup.record_down()
         try:
             connection = await self._pool.acquire(max_idle)
         except ConnectionBrokenError as error:
--- a/ragwortferry/mesh/tests/test_cold_zones.py
+++ b/ragwortferry/mesh/tests/test_cold_zones.py
@@ -82,6 +82,25 @@
     run_cold(scenario)
 
 
+def test_restart_between_two_requests_is_noticed_by_its_lost_connections(run_cold):
+    """Guards against a burst at a cold upstream that no entry has told of yet."""
+
+    async def scenario(mesh):
+        _slow_down(mesh)
+        machine = _zone(mesh, "a")[0]
+        callers = Callers(mesh)
+        await callers.run(OVERLOAD_PER_S, 1)
+        await callers.finish()
+        await machine.upstream.crash()
+        machine.upstream.cold_until = time.monotonic() + COLD_START_S
+        await machine.upstream.restart(machine.upstream.name)
+        await callers.run(OVERLOAD_PER_S, COLD_START_S)
+        await callers.finish()
+        assert 0 < _most_while_cold(machine) <= MOST_PER_S
+
+    run_cold(scenario)
+
+
 def test_restarted_node_keeps_the_bound_of_its_cold_upstream(run_cold):
     async def scenario(mesh):
         _slow_down(mesh)
--- a/ragwortferry/mesh/warmup_monitor.py
+++ b/ragwortferry/mesh/warmup_monitor.py
@@ -65,6 +65,11 @@
         """Return whether nothing is known yet that shows the upstream to be warm."""
         return self._expected and (self._entry is None or self._state.document is None)
 
+    @property
+    def bounded(self) -> bool:
+        """Return whether the service bounds the requests to cold upstreams."""
+        return self._warmup.bounded
+
     @property
     def rate_per_s(self) -> float | None:
         """Return the rate that the upstream tolerates, ``None`` if it is warm."""
