--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -24,6 +24,9 @@
     ``fault`` is ``""``, ``"lost"`` (requests run, then the connection is reset),
     ``"cut"`` (responses are truncated), ``"shed"`` (requests are rejected),
     ``"endless-head"`` or ``"endless-body"`` (bytes are sent until the connection ends).
+    With ``"hang-when-full"`` it never responds to a request beyond its slots, nor to
+    later ones on that connection, with ``"hang-once"`` to the next request; ``hung``
+    holds their ids.
     ``limit`` is the value of the header ``Server-Limit`` of each response, also of
     refusals, and ``leaving`` adds ``Server-Leaving``. Responses have
     ``response_bytes``, or ``long_response_bytes`` if the request id starts with
@@ -48,6 +51,7 @@
         self.crash_delay_s = 0.03
         # Monotonic time of each crash and the ids of the requests then at work.
         self.crashes: list[tuple[float, list[str]]] = []
+        self.hung: list[str] = []
         self.cold_until = 0.0
         self.health_checks = 0
         self.limit = ""
@@ -177,11 +181,21 @@
             headers = {"X-Instance-Id": self.name, "X-Not-Executed": "1"}
             return web.Response(status=421, headers=headers)
         self.arrivals.append((time.monotonic(), request_id))
+        if self._hangs():
+            self.hung.append(request_id)
+            await asyncio.Event().wait()
         if self.fault == "shed" or self.running >= self.slots + 4:
             headers = {"X-Not-Executed": "1", **self._advertised()}
             return web.Response(status=503, headers=headers)
         return await self._run(request, request_id)
 
+    def _hangs(self) -> bool:
+        """Return whether the next request is never answered."""
+        if self.fault == "hang-once":
+            self.fault = ""
+            return True
+        return self.fault == "hang-when-full" and self.running >= self.slots
+
     async def _run(self, request: web.BaseRequest, request_id: str):
         body = await request.read()
         self.runs[request_id] += 1
