Take out the new mechanisms one by one

Cause: a test that passes without the mechanism that it covers shows nothing.

Change: 13 entries for warm-up, evacuation and overload. The test of returning callers asks for more: refused at most three quarters as often as at the first try.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -47,6 +47,15 @@
 CRASHING = "ragwortferry/mesh/tests/test_crashing_requests.py"
 EVIDENCE = "ragwortferry/mesh/tests/test_evidence.py"
 MESH_ENTRY = "ragwortferry/mesh/tests/test_entry.py"
+WARMUP = "ragwortferry/mesh/tests/test_warmup.py"
+EVACUATION = "ragwortferry/mesh/tests/test_evacuation.py"
+COLD_ZONES = "ragwortferry/mesh/tests/test_cold_zones.py"
+FORECAST = "ragwortferry/mesh/tests/test_forecast.py"
+MIXED_ROUTES = "ragwortferry/mesh/tests/test_mixed_routes.py"
+CALLS = "ragwortferry/mesh/tests/test_calls.py"
+RETURNS = "ragwortferry/mesh/tests/test_returns.py"
+BACKLOG = "ragwortferry/http1/tests/test_backlog.py"
+MESH_STATE = "ragwortferry/mesh/tests/test_state.py"
 TEST_TIMEOUT_S = 180
 
 
@@ -573,6 +582,106 @@
         "weight = 1.0",
         f"{DECISIONS}::test_upstream_whose_first_requests_were_slow_gets_its_share",
     ),
+    Mechanism(
+        "rate of cold upstreams",
+        "ragwortferry/mesh/owner.py",
+        "rates = [self.limit_per_s, self.warmup_rate_per_s]",
+        "rates = [self.limit_per_s]",
+        f"{COLD_ZONES}"
+        "::test_restart_between_two_requests_is_noticed_by_its_lost_connections",
+    ),
+    Mechanism(
+        "restart noticed by lost connections",
+        "ragwortferry/mesh/owner.py",
+        "if self._warmup.bounded and not self._pool.has_open:",
+        "if False:",
+        f"{COLD_ZONES}"
+        "::test_restart_between_two_requests_is_noticed_by_its_lost_connections",
+    ),
+    Mechanism(
+        "entries on their way do not overrule responses",
+        "ragwortferry/mesh/warmup.py",
+        "if not outdated or now + entry.cold_s > self.ends_at:",
+        "if True:",
+        f"{WARMUP}::"
+        "test_entry_that_was_on_its_way_does_not_end_what_the_upstream_has_just_stated",
+    ),
+    Mechanism(
+        "first share of a cold upstream",
+        "ragwortferry/mesh/balance.py",
+        "        if not was_cold:\n",
+        "        if False:\n",
+        f"{WARMUP}::"
+        "test_nodes_that_know_only_the_entry_do_not_all_send_to_a_cold_upstream_at_once",
+    ),
+    Mechanism(
+        "evacuations leave upstreams out",
+        "ragwortferry/mesh/state.py",
+        "and not self.evacuations.includes(item.zone)",
+        "and True",
+        f"{EVACUATION}::test_upstreams_of_evacuated_zones_are_not_available_and_return",
+    ),
+    Mechanism(
+        "heartbeats repair missed evacuations",
+        "ragwortferry/mesh/evacuation.py",
+        "        if 0 <= link.peer_evacuation_revision < self._evacuations.revision:\n"
+        "            self._send(link)\n\n    def on_frame",
+        "\n    def on_frame",
+        f"{EVACUATION}"
+        "::test_peer_that_missed_a_change_is_told_after_its_next_heartbeat",
+    ),
+    Mechanism(
+        "one upstream an address",
+        "ragwortferry/mesh/state.py",
+        "and newest[item.address] is item",
+        "and True",
+        f"{MESH_STATE}"
+        "::test_entry_of_a_crashed_upstream_is_not_used_beside_that_of_its_successor",
+    ),
+    Mechanism(
+        "expected long responses",
+        "ragwortferry/mesh/forecast.py",
+        "return self._pacer.queueing_delay_s + expected_s",
+        "return self._pacer.queueing_delay_s",
+        f"{FORECAST}"
+        "::test_long_responses_are_in_time_whatever_more_the_link_is_asked_for",
+    ),
+    Mechanism(
+        "service times by route",
+        "ragwortferry/mesh/balance.py",
+        "service_s = self._speeds.expected(upstream.id, route, now)",
+        "service_s = None",
+        f"{MIXED_ROUTES}::test_slots_of_all_upstreams_are_used_before_requests_wait",
+    ),
+    Mechanism(
+        "calls go first",
+        "ragwortferry/mesh/admission.py",
+        "return job.priority, late, job.standing, at",
+        "return job.priority, late, 0, at",
+        f"{CALLS}::test_calls_are_served_where_new_requests_can_be_refused",
+    ),
+    Mechanism(
+        "returned callers go first",
+        "ragwortferry/mesh/returns.py",
+        "        return Standing.RETURNED\n",
+        "        return Standing.NEW\n",
+        f"{RETURNS}"
+        "::test_callers_who_return_as_told_are_served_more_often_than_at_their_first_try",
+    ),
+    Mechanism(
+        "idempotent attempts leave a silent link",
+        "ragwortferry/mesh/peers.py",
+        "            self._abandon_idempotent(peer, link)\n",
+        "            pass\n",
+        f"{LINKS}::test_idempotent_attempt_does_not_wait_until_a_silent_link_is_closed",
+    ),
+    Mechanism(
+        "bound of unread responses",
+        "ragwortferry/http1/server.py",
+        "            connection.abort()\n",
+        "            pass\n",
+        f"{BACKLOG}::test_callers_that_never_read_do_not_grow_the_memory",
+    ),
 ]
 
 
--- a/ragwortferry/mesh/tests/test_returns.py
+++ b/ragwortferry/mesh/tests/test_returns.py
@@ -120,7 +120,8 @@
     first = desk.ended["patient"].total()
     refused_first = len(desk.refused_after) - desk.ended["patient"]["refused"]
     refused_again = desk.ended["patient"]["refused"]
-    assert refused_again / refused_first < refused_first / first
+    # At most three quarters as likely to be refused as at the first try.
+    assert refused_again / refused_first <= 0.75 * refused_first / first
 
 
 def test_refused_callers_are_told_times_in_the_order_in_which_they_came():
