Move admission, placement and links into packages of their own

Change: moves only. mesh/admission/ (queue, rate limits, warm-up, calls, returns, expected responses), mesh/placement/ (balance, speeds, aperture, budget, splits), mesh/links/ (messages, links, peers, relay). Peer and RequestContext have modules of their own.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -323,21 +323,21 @@
     ),
     Mechanism(
         "wide network links first",
-        "ragwortferry/mesh/relay.py",
+        "ragwortferry/mesh/links/relay.py",
         "return -self._bandwidths.get(host, own), rank_key(zone, host)",
         "return own, rank_key(zone, host)",
         f"{TRANSFERS}::test_nodes_with_the_widest_network_links_read_the_store",
     ),
     Mechanism(
         "changes of subscriptions",
-        "ragwortferry/mesh/peers.py",
+        "ragwortferry/mesh/links/peers.py",
         "if wanted != link.own_subscription:",
         "if False:",
         f"{TRANSFERS}::test_node_that_becomes_a_child_on_an_open_link_receives_changes",
     ),
     Mechanism(
         "differences between versions of the mesh",
-        "ragwortferry/mesh/relay.py",
+        "ragwortferry/mesh/links/relay.py",
         "changes = state.changes_since_version(link.peer_version)",
         "changes = None",
         f"{TRANSFERS}::test_small_change_of_a_large_configuration_is_sent_as_a_"
@@ -345,7 +345,7 @@
     ),
     Mechanism(
         "parts of long state",
-        "ragwortferry/mesh/link.py",
+        "ragwortferry/mesh/links/link.py",
         "if not waiting and not self._pacer.paces(len(data)):",
         "if True:",
         f"{TRANSFERS}::test_short_message_does_not_wait_behind_a_configuration_in_"
@@ -361,42 +361,42 @@
     ),
     Mechanism(
         "limit that the upstream advertises",
-        "ragwortferry/mesh/admission.py",
+        "ragwortferry/mesh/admission/queue.py",
         "if self._rate_limit and not self._rate_limit.try_take(now):",
         "if False:",
         f"{DECISIONS}::test_limited_upstream_uses_its_limit_and_refuses_the_rest_at_once",
     ),
     Mechanism(
         "limit told to a restarted node",
-        "ragwortferry/mesh/peers.py",
+        "ragwortferry/mesh/links/peers.py",
         "self.advertised_at(link.host) if link.dialed else []",
         "[]",
         f"{LINKS}::test_hello_tells_a_restarted_node_what_its_upstream_had_stated",
     ),
     Mechanism(
         "order of responses about a limit",
-        "ragwortferry/mesh/advertised.py",
+        "ragwortferry/mesh/admission/advertised.py",
         "elif ran and not advertised.invalid and sent_at > self.named_at:",
         "elif ran and not advertised.invalid:",
         f"{ADVERTISED}::test_response_that_overtook_the_limit_does_not_end_it",
     ),
     Mechanism(
         "share of a limit",
-        "ragwortferry/mesh/balance.py",
+        "ragwortferry/mesh/placement/balance.py",
         "return now >= self.stats(upstream, now).next_share_at",
         "return True",
         f"{PLACEMENT}::test_requests_go_elsewhere_while_other_upstreams_have_room",
     ),
     Mechanism(
         "requests that find out whether a limit has ended",
-        "ragwortferry/mesh/balance.py",
+        "ragwortferry/mesh/placement/balance.py",
         "min(MAX_SHARE_INTERVAL_S, advertised.sharers / rate)",
         "advertised.sharers / rate",
         f"{PLACEMENT}::test_requests_keep_finding_out_whether_a_low_limit_has_ended",
     ),
     Mechanism(
         "share of lower priorities in the starts",
-        "ragwortferry/mesh/admission.py",
+        "ragwortferry/mesh/admission/queue.py",
         "            return lower_share < LOWER_PRIORITY_SHARE\n",
         "            pass\n",
         f"{DECISIONS}::test_limited_upstream_prefers_higher_priority_and_starves_none",
@@ -441,7 +441,7 @@
     ),
     Mechanism(
         "isolation of messages that cannot be handled",
-        "ragwortferry/mesh/peers.py",
+        "ragwortferry/mesh/links/peers.py",
         "        except Exception as error:\n            kind =",
         "        except InterruptedError as error:\n            kind =",
         f"{LINKS}::test_unexpected_error_in_a_message_closes_only_its_link",
@@ -455,21 +455,21 @@
     ),
     Mechanism(
         "aperture",
-        "ragwortferry/mesh/aperture.py",
+        "ragwortferry/mesh/placement/aperture.py",
         "if len(upstreams) <= SIZE:",
         "if True:",
         f"{APERTURE}::test_aperture_has_the_same_size_however_many_upstreams_there_are",
     ),
     Mechanism(
         "end of unused links",
-        "ragwortferry/mesh/peers.py",
+        "ragwortferry/mesh/links/peers.py",
         "if peer.is_unused(now):\n            peer.release()\n        received",
         "received",
         f"{APERTURE}::test_link_that_no_request_needs_any_more_is_released",
     ),
     Mechanism(
         "tree only for changed instances",
-        "ragwortferry/mesh/peers.py",
+        "ragwortferry/mesh/links/peers.py",
         "if hosts != self._hosts:",
         "if True:",
         f"{APERTURE}::test_change_of_the_registry_without_new_instances_rebuilds_no_tree",
@@ -483,7 +483,7 @@
     ),
     Mechanism(
         "ping interval by the time that attempts have",
-        "ragwortferry/mesh/heartbeat.py",
+        "ragwortferry/mesh/links/heartbeat.py",
         "min(MAX_BUSY_PING_INTERVAL_S, BUSY_PING_FRACTION * left_s),",
         "0.0,",
         f"{HEARTBEAT}::test_busy_link_is_pinged_by_the_time_that_its_attempt_has",
@@ -556,7 +556,7 @@
     ),
     Mechanism(
         "evidence for new neighbours",
-        "ragwortferry/mesh/relay.py",
+        "ragwortferry/mesh/links/relay.py",
         "            self.on_synchronize(link)\n",
         "            pass\n",
         f"{EVIDENCE}::test_new_neighbour_is_told_all_evidence_if_it_understands_it",
@@ -577,7 +577,7 @@
     ),
     Mechanism(
         "few samples of service times",
-        "ragwortferry/mesh/balance.py",
+        "ragwortferry/mesh/placement/balance.py",
         "weight = counted / (counted + PRIOR_SAMPLES)",
         "weight = 1.0",
         f"{DECISIONS}::test_upstream_whose_first_requests_were_slow_gets_its_share",
@@ -600,7 +600,7 @@
     ),
     Mechanism(
         "entries on their way do not overrule responses",
-        "ragwortferry/mesh/warmup.py",
+        "ragwortferry/mesh/admission/warmup.py",
         "if not outdated or now + entry.cold_s > self.ends_at:",
         "if True:",
         f"{WARMUP}::"
@@ -608,7 +608,7 @@
     ),
     Mechanism(
         "first share of a cold upstream",
-        "ragwortferry/mesh/balance.py",
+        "ragwortferry/mesh/placement/balance.py",
         "        if not was_cold:\n",
         "        if False:\n",
         f"{WARMUP}::"
@@ -640,7 +640,7 @@
     ),
     Mechanism(
         "expected long responses",
-        "ragwortferry/mesh/forecast.py",
+        "ragwortferry/mesh/admission/forecast.py",
         "return self._pacer.queueing_delay_s + expected_s",
         "return self._pacer.queueing_delay_s",
         f"{FORECAST}"
@@ -648,21 +648,21 @@
     ),
     Mechanism(
         "service times by route",
-        "ragwortferry/mesh/balance.py",
+        "ragwortferry/mesh/placement/balance.py",
         "service_s = self._speeds.expected(upstream.id, route, now)",
         "service_s = None",
         f"{MIXED_ROUTES}::test_slots_of_all_upstreams_are_used_before_requests_wait",
     ),
     Mechanism(
         "calls go first",
-        "ragwortferry/mesh/admission.py",
+        "ragwortferry/mesh/admission/queue.py",
         "return job.priority, late, job.standing, at",
         "return job.priority, late, 0, at",
         f"{CALLS}::test_calls_are_served_where_new_requests_can_be_refused",
     ),
     Mechanism(
         "returned callers go first",
-        "ragwortferry/mesh/returns.py",
+        "ragwortferry/mesh/admission/returns.py",
         "        return Standing.RETURNED\n",
         "        return Standing.NEW\n",
         f"{RETURNS}"
@@ -670,7 +670,7 @@
     ),
     Mechanism(
         "idempotent attempts leave a silent link",
-        "ragwortferry/mesh/peers.py",
+        "ragwortferry/mesh/links/peers.py",
         "            self._abandon_idempotent(peer, link)\n",
         "            pass\n",
         f"{LINKS}::test_idempotent_attempt_does_not_wait_until_a_silent_link_is_closed",
--- a/ragwortferry/mesh/advertised.py
+++ b/ragwortferry/mesh/admission/advertised.py
@@ -3,7 +3,7 @@
 __all__ = ["AdvertisedState"]
 
 from ragwortferry.logs import Log
-from ragwortferry.mesh.frames import Advertisement
+from ragwortferry.mesh.links.frames import Advertisement
 from ragwortferry.mesh.model import Advertised
 
 # Minimum interval between log lines about values that change with each response.
--- a/ragwortferry/mesh/admission.py
+++ b/ragwortferry/mesh/admission/queue.py
@@ -15,9 +15,9 @@
 from dataclasses import dataclass, field
 
 from ragwortferry.exceptions import ErrorKind
+from ragwortferry.mesh.admission.ratelimit import RateLimit
+from ragwortferry.mesh.admission.returns import Standing
 from ragwortferry.mesh.averages import RouteAverages
-from ragwortferry.mesh.ratelimit import RateLimit
-from ragwortferry.mesh.returns import Standing
 
 # Weight of the newest sample in a moving average.
 SMOOTHING = 0.1
--- a/ragwortferry/mesh/warmup_monitor.py
+++ b/ragwortferry/mesh/admission/warmup_monitor.py
@@ -7,10 +7,10 @@
 
 from ragwortferry.http1.client import Pool
 from ragwortferry.logs import Log
-from ragwortferry.mesh.health import ask_health
+from ragwortferry.mesh.admission.health import ask_health
+from ragwortferry.mesh.admission.warmup import WarmUp
 from ragwortferry.mesh.model import Document, Upstream
 from ragwortferry.mesh.state import MeshState, RegistryChange
-from ragwortferry.mesh.warmup import WarmUp
 
 # Minimum interval between two health questions.
 MIN_INTERVAL_S = 0.5
--- a/ragwortferry/mesh/attempt.py
+++ b/ragwortferry/mesh/attempt.py
@@ -8,8 +8,8 @@
 
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.http1.messages import Headers
-from ragwortferry.mesh.frames import Load
-from ragwortferry.mesh.returns import Standing
+from ragwortferry.mesh.admission.returns import Standing
+from ragwortferry.mesh.links.frames import Load
 from ragwortferry.mesh.window import Window
 
 
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -6,30 +6,30 @@
 import itertools
 import random
 from collections import Counter
-from dataclasses import dataclass, field
 
 import msgspec
 
 from ragwortferry.exceptions import ERROR_RESPONSES, ErrorKind, Outcome
 from ragwortferry.http1.messages import Request, end_to_end, get_header
 from ragwortferry.http1.server import Exchange, Server
-from ragwortferry.mesh.admission import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
-from ragwortferry.mesh.aperture import Aperture
+from ragwortferry.mesh.admission.calls import CallRoutes, call_objective
+from ragwortferry.mesh.admission.queue import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
+from ragwortferry.mesh.admission.returns import CallerKey, ReturnBook, Standing
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
 from ragwortferry.mesh.averages import RouteAverages
-from ragwortferry.mesh.balance import Balancer
-from ragwortferry.mesh.budget import RetryBudget
-from ragwortferry.mesh.calls import CallRoutes, call_objective
+from ragwortferry.mesh.context import RequestContext
 from ragwortferry.mesh.fingerprint import RequestKind
-from ragwortferry.mesh.frames import Advertisement, Load
+from ragwortferry.mesh.links.frames import Advertisement, Load
+from ragwortferry.mesh.links.peers import Peers
 from ragwortferry.mesh.model import Document, Limits, Route, Upstream
 from ragwortferry.mesh.owner import Owner
-from ragwortferry.mesh.peers import Peers
+from ragwortferry.mesh.placement.aperture import Aperture
+from ragwortferry.mesh.placement.balance import Balancer
+from ragwortferry.mesh.placement.budget import RetryBudget
+from ragwortferry.mesh.placement.splits import TrafficSplitter
 from ragwortferry.mesh.quarantine import Quarantine, Ruling
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.response import AttemptState
-from ragwortferry.mesh.returns import CallerKey, ReturnBook, Standing
-from ragwortferry.mesh.splits import TrafficSplitter
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
 from ragwortferry.platform.settings import Bounds
@@ -87,51 +87,6 @@
 )
 
 
-@dataclass(slots=True, eq=False)
-class RequestContext:
-    """State of one request on its way through the entry.
-
-    :param service: destination that was chosen among the route's.
-    :param deadline: loop time at which the final response is due.
-    :param objective: loop time until which a response meets the latency objective,
-        counted from the caller's first attempt.
-    :param caller_deadline: loop time until which the caller waits; the same for its
-        repetitions.
-    :param tried: ids of the upstreams that were tried.
-    :param attempts: log record of each attempt.
-    :param arrivals: number of attempts that were sent to an upstream.
-    :param refusals: number of attempts that were not sent to an upstream.
-    :param outdated: those among them that outdated knowledge of this node led to.
-    :param maybe_ran: whether a failed attempt may have run.
-    :param failure: why the last failed attempt failed.
-    :param response: last response of an upstream. Once there is one, the request has
-        run, and the caller must not get a not-run error.
-    :param limits: limits because of which no further upstream was tried.
-    :param trial: whether it runs although upstreams have crashed under it.
-    :param standing: its place among requests of its priority.
-    """
-
-    request: Request
-    request_id: str
-    document: Document
-    route: Route
-    service: str
-    deadline: float
-    objective: float
-    caller_deadline: float = 0.0
-    tried: list[str] = field(default_factory=list)
-    attempts: list[dict] = field(default_factory=list)
-    arrivals: int = 0
-    refusals: int = 0
-    outdated: int = 0
-    maybe_ran: bool = False
-    failure: Failure | None = None
-    response: Reply | None = None
-    limits: list[dict] = field(default_factory=list)
-    trial: bool = False
-    standing: Standing = Standing.NEW
-
-
 class Entry:
     """Serves the callers on this instance.
 
--- a/ragwortferry/mesh/evacuation.py
+++ b/ragwortferry/mesh/evacuation.py
@@ -3,9 +3,9 @@
 __all__ = ["EvacuationExchange"]
 
 from ragwortferry.logs import Log
-from ragwortferry.mesh.frames import EvacuatedZones, ZoneChange
-from ragwortferry.mesh.link import Link
-from ragwortferry.mesh.relay import Relay
+from ragwortferry.mesh.links.frames import EvacuatedZones, ZoneChange
+from ragwortferry.mesh.links.link import Link
+from ragwortferry.mesh.links.relay import Relay
 from ragwortferry.mesh.zones import Evacuations
 
 
--- a/ragwortferry/mesh/evidence.py
+++ b/ragwortferry/mesh/evidence.py
@@ -9,10 +9,10 @@
 
 from ragwortferry.logs import Log
 from ragwortferry.mesh.fingerprint import RequestKind
-from ragwortferry.mesh.frames import Clearance, CrashReport, Evidence
-from ragwortferry.mesh.link import Link
+from ragwortferry.mesh.links.frames import Clearance, CrashReport, Evidence
+from ragwortferry.mesh.links.link import Link
+from ragwortferry.mesh.links.relay import Relay
 from ragwortferry.mesh.quarantine import Quarantine
-from ragwortferry.mesh.relay import Relay
 
 # Largest jittered delay of a clearance. A popular request runs to its end at many nodes
 # at once; those that hear of it from another one do not tell it again.
--- a/ragwortferry/mesh/link.py
+++ b/ragwortferry/mesh/links/link.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ragwortferry.mesh.frames import Frame, Part, decode_frame, encode_frame
+from ragwortferry.mesh.links.frames import Frame, Part, decode_frame, encode_frame
 from ragwortferry.utils.egress import PIECE_BYTES, EgressPacer, Stream
 
 LENGTH_PREFIX_BYTES = 4
--- a/ragwortferry/mesh/peers.py
+++ b/ragwortferry/mesh/links/peers.py
@@ -7,16 +7,14 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log
-from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
 from ragwortferry.mesh.evacuation import EvacuationExchange
 from ragwortferry.mesh.evidence import EvidenceExchange
-from ragwortferry.mesh.frames import (
+from ragwortferry.mesh.links.frames import (
     Advertisement,
     Cancel,
     Data,
@@ -34,16 +32,18 @@
     Subscribe,
     Taken,
 )
-from ragwortferry.mesh.heartbeat import IDLE_TIMEOUT_S, Heartbeat
-from ragwortferry.mesh.link import Link
-from ragwortferry.mesh.owner import Owner
-from ragwortferry.mesh.relay import Relay
-from ragwortferry.mesh.remote import (
+from ragwortferry.mesh.links.heartbeat import IDLE_TIMEOUT_S
+from ragwortferry.mesh.links.link import Link
+from ragwortferry.mesh.links.peer import Peer, PendingAttempt
+from ragwortferry.mesh.links.relay import Relay
+from ragwortferry.mesh.links.remote import (
     LinkSink,
     attempt_from_submit,
     failure_from_frame,
     submit_frame,
 )
+from ragwortferry.mesh.owner import Owner
+from ragwortferry.mesh.placement.aperture import Aperture
 from ragwortferry.mesh.response import AttemptState
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.utils.deadlines import NEVER, Deadlines
@@ -86,67 +86,6 @@
 # needs them. Otherwise at most this many of the apertures of its services are, and the
 # neighbours in the relay tree; others are dialed for the first attempt sent to them.
 MAX_EAGER_DIALS = 40
-# A link that was dialed for an attempt is closed after this long without another one.
-MAX_UNUSED_S = 30.0
-
-
-@dataclass(slots=True, eq=False)
-class PendingAttempt:
-    """An attempt that was sent to its owner and has no complete response yet."""
-
-    attempt: Attempt
-    reply: Reply
-
-
-class _Peer:
-    """Another node and the link that this node has dialed to it."""
-
-    def __init__(self, address: Address):
-        self.address = address
-        self.link: Link | None = None
-        self.pending: dict[str, PendingAttempt] = {}
-        self.heartbeat = Heartbeat()
-        # Token and time of the ping whose round trip is being measured.
-        self.probe_token, self.probe_at = 0, 0.0
-        self.task: asyncio.Task | None = None
-        self.connected = asyncio.Event()
-        # When the link was lost, or first could not be established.
-        self.unreachable_since = NEVER
-        self.dialed_once = False
-        # Whether the link is dialed ahead of requests; else it is closed when unused.
-        self.eager = False
-        self.used_at = 0.0
-        self.wanted = True
-        # Set when the link is lost, or the peer is no longer wanted.
-        self.changed = asyncio.Event()
-        # Set when the peer dials this node, which shows that it can be reached again.
-        self.redial_now = asyncio.Event()
-
-    @property
-    def unreachable(self) -> bool:
-        """Return whether the last dial failed or the link was lost."""
-        return self.unreachable_since is not NEVER
-
-    async def wait_until_unused(self, link: Link) -> None:
-        """Wait until the link is lost, or is neither wanted nor in use."""
-        while not link.closed and (self.wanted or self.pending):
-            self.changed.clear()
-            await self.changed.wait()
-
-    def release(self) -> None:
-        """Let the link end as soon as no attempt is pending on it."""
-        if self.wanted:
-            self.wanted = False
-            self.changed.set()
-
-    def is_unused(self, now: float) -> bool:
-        """Return whether no attempt has needed the link for a while."""
-        return not (self.eager or self.pending or now - self.used_at < MAX_UNUSED_S)
-
-    def mark_unreachable(self, now: float) -> None:
-        """Record that the peer cannot be reached."""
-        self.dialed_once = True
-        self.unreachable_since = min(self.unreachable_since, now)
 
 
 class Peers:
@@ -202,7 +141,7 @@
         self._incarnation = incarnation
         self._log = log
         self._rng = rng
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, Peer] = {}
         # Links that peers have dialed, with their attempts at the own upstream by key.
         self._accepted: dict[Link, dict[str, tuple[AttemptState, LinkSink]]] = {}
         self._listener: asyncio.Server | None = None
@@ -210,7 +149,7 @@
         # Availability zone of each other node in the registry, by IP address.
         self._hosts: dict[str, str] = {}
         # When each link has to be looked at next.
-        self._checks: Deadlines[_Peer | Link] = Deadlines()
+        self._checks: Deadlines[Peer | Link] = Deadlines()
         self._next_check_at = 0.0
         self._check_now = asyncio.Event()
         self._last_token = 0
@@ -339,7 +278,7 @@
         ping_due = peer.heartbeat.ping_due(peer.link.last_received_at, True)
         self._check_by(peer, ping_due)
 
-    async def _wait_until_connected(self, peer: _Peer, deadline: float) -> None:
+    async def _wait_until_connected(self, peer: Peer, deadline: float) -> None:
         """Wait for a link that is being established or was lost a moment ago."""
         now = asyncio.get_running_loop().time()
         lost_long_ago = (
@@ -379,11 +318,11 @@
         for link in self.links:
             link.close(reason)
 
-    def _peer(self, host: str) -> _Peer:
+    def _peer(self, host: str) -> Peer:
         """Return the peer at a host, and start to dial it if that is not under way."""
         peer = self._peers.get(host)
         if peer is None:
-            peer = self._peers[host] = _Peer(Address(host, self._peer_port))
+            peer = self._peers[host] = Peer(Address(host, self._peer_port))
         if peer.task is None or peer.task.done():
             peer.wanted = True
             peer.used_at = asyncio.get_running_loop().time()
@@ -453,7 +392,7 @@
             if wanted:
                 self._relay.on_synchronize(link)
 
-    async def _maintain(self, peer: _Peer) -> None:
+    async def _maintain(self, peer: Peer) -> None:
         """Dial a peer again whenever its link is lost, for as long as it is wanted."""
         backoff = Backoff(INITIAL_REDIAL_DELAY_S, MAX_REDIAL_DELAY_S, self._rng)
         loop = asyncio.get_running_loop()
@@ -483,7 +422,7 @@
         if not peer.pending and self._peers.get(peer.address.host) is peer:
             del self._peers[peer.address.host]
 
-    async def _dial(self, peer: _Peer) -> Link | None:
+    async def _dial(self, peer: Peer) -> Link | None:
         """Return a link whose peer has sent its hello, ``None`` if none does in time.
 
         An established connection alone does not show that the peer runs: the operating
@@ -505,7 +444,7 @@
                 link.close("no hello received in time")
             return None
 
-    async def _wait_before_redial(self, peer: _Peer, seconds: float) -> None:
+    async def _wait_before_redial(self, peer: Peer, seconds: float) -> None:
         """Wait before the next dial, or until the peer dials this node."""
         peer.redial_now.clear()
         try:
@@ -665,7 +604,7 @@
             peer.changed.set()
         return peer.pending.pop(key, None)
 
-    def _peer_by_link(self, link: Link) -> _Peer | None:
+    def _peer_by_link(self, link: Link) -> Peer | None:
         """Return the peer whose dialed link this is, ``None`` for an accepted link."""
         peer = self._peers.get(link.host)
         return peer if peer is not None and peer.link is link else None
@@ -689,7 +628,7 @@
             self._owner.cancel(attempt_state)
             sink.discard()
 
-    def _check_by(self, target: "_Peer | Link", when: float) -> None:
+    def _check_by(self, target: Peer | Link, when: float) -> None:
         """Look at a link at a time, or before it if that is planned."""
         self._checks.bring_forward(target, when)
         if when < self._next_check_at - CHECK_INTERVAL_S:
@@ -724,7 +663,7 @@
     def _check_links(self, now: float) -> None:
         """Look at the links that are due."""
         for target in self._checks.pop_due(now):
-            if isinstance(target, _Peer):
+            if isinstance(target, Peer):
                 if target.link is not None:
                     self._check_heartbeat(target, target.link, now)
             elif target in self._accepted:
@@ -745,7 +684,7 @@
         for link in self._accepted:
             link.last_received_at = now
 
-    def _check_heartbeat(self, peer: _Peer, link: Link, now: float) -> None:
+    def _check_heartbeat(self, peer: Peer, link: Link, now: float) -> None:
         """Ping a peer if it is silent, and close its link after the timeout."""
         heartbeat, busy = peer.heartbeat, bool(peer.pending)
         heartbeat.record_received(link.last_received_at)
@@ -766,7 +705,7 @@
         due = heartbeat.next_check(received_at, now, busy, timeout_s)
         self._checks.set(peer, due)
 
-    def _abandon_idempotent(self, peer: _Peer, link: Link) -> None:
+    def _abandon_idempotent(self, peer: Peer, link: Link) -> None:
         """Let the idempotent attempts on a silent link be tried elsewhere.
 
         If the link were closed now and the peer only slow, the others would be in
--- a/ragwortferry/mesh/relay.py
+++ b/ragwortferry/mesh/links/relay.py
@@ -17,7 +17,8 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from ragwortferry.mesh.frames import (
+from ragwortferry.mesh.history import DocumentChange
+from ragwortferry.mesh.links.frames import (
     Announce,
     Bandwidths,
     Configuration,
@@ -27,8 +28,7 @@
     Registry,
     Subscribe,
 )
-from ragwortferry.mesh.history import DocumentChange
-from ragwortferry.mesh.link import Link
+from ragwortferry.mesh.links.link import Link
 from ragwortferry.mesh.model import Document
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.utils.digests import rank_key
--- a/ragwortferry/mesh/remote.py
+++ b/ragwortferry/mesh/links/remote.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 
 from ragwortferry.exceptions import ErrorKind, Outcome
+from ragwortferry.mesh.admission.returns import Standing
 from ragwortferry.mesh.attempt import Attempt, Failure
-from ragwortferry.mesh.frames import Data, End, Failed, Head, Load, Submit
-from ragwortferry.mesh.link import Link
-from ragwortferry.mesh.returns import Standing
+from ragwortferry.mesh.links.frames import Data, End, Failed, Head, Load, Submit
+from ragwortferry.mesh.links.link import Link
 from ragwortferry.mesh.window import Window
 from ragwortferry.utils.egress import PIECE_BYTES, Stream
 
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -12,18 +12,18 @@
 from ragwortferry.http1.server import Exchange, Server
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log, LogContext
-from ragwortferry.mesh.aperture import Aperture
-from ragwortferry.mesh.balance import Balancer
 from ragwortferry.mesh.entry import Entry
 from ragwortferry.mesh.evacuation import EvacuationExchange
 from ragwortferry.mesh.evidence import EvidenceExchange
+from ragwortferry.mesh.links.peers import Peers
+from ragwortferry.mesh.links.relay import Relay
 from ragwortferry.mesh.metrics import NodeMetrics
 from ragwortferry.mesh.owner import Owner
-from ragwortferry.mesh.peers import Peers
+from ragwortferry.mesh.placement.aperture import Aperture
+from ragwortferry.mesh.placement.balance import Balancer
 from ragwortferry.mesh.quarantine import Quarantine
 from ragwortferry.mesh.reader import Reader
 from ragwortferry.mesh.recording import Recorder
-from ragwortferry.mesh.relay import Relay
 from ragwortferry.mesh.state import MeshState
 from ragwortferry.platform.config import DocumentDecoder
 from ragwortferry.platform.names import READY_PATH
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -14,14 +14,15 @@
 )
 from ragwortferry.http1.messages import encode_request, end_to_end, get_header
 from ragwortferry.logs import Log
-from ragwortferry.mesh.admission import SMOOTHING, AdmissionQueue, Job, Refusal
-from ragwortferry.mesh.advertised import AdvertisedState
+from ragwortferry.mesh.admission.advertised import AdvertisedState
+from ragwortferry.mesh.admission.forecast import EgressForecast
+from ragwortferry.mesh.admission.queue import SMOOTHING, AdmissionQueue, Job, Refusal
+from ragwortferry.mesh.admission.warmup_monitor import WarmUpMonitor
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.evidence import EvidenceExchange
-from ragwortferry.mesh.forecast import EgressForecast
-from ragwortferry.mesh.frames import MAX_SAMPLES, Advertisement, Load, Warmup
 from ragwortferry.mesh.guard import CrashGuard
+from ragwortferry.mesh.links.frames import MAX_SAMPLES, Advertisement, Load, Warmup
 from ragwortferry.mesh.quarantine import Quarantine
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.response import (
@@ -32,7 +33,6 @@
     unknown,
 )
 from ragwortferry.mesh.state import MeshState, RegistryChange
-from ragwortferry.mesh.warmup_monitor import WarmUpMonitor
 from ragwortferry.platform.advertised import decode_advertised
 from ragwortferry.platform.names import (
     CALLER_SERVICE_HEADER,
--- /dev/null
+++ b/ragwortferry/mesh/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream a request goes to, and whether a retry is allowed."""
--- a/ragwortferry/mesh/balance.py
+++ b/ragwortferry/mesh/placement/balance.py
@@ -18,11 +18,11 @@
 
 import msgspec
 
-from ragwortferry.mesh.admission import max_wait
-from ragwortferry.mesh.frames import Advertisement, Load
+from ragwortferry.mesh.admission.queue import max_wait
+from ragwortferry.mesh.admission.ratelimit import MIN_RATE_PER_S
+from ragwortferry.mesh.links.frames import Advertisement, Load
 from ragwortferry.mesh.model import Service, Upstream
-from ragwortferry.mesh.ratelimit import MIN_RATE_PER_S
-from ragwortferry.mesh.speeds import SpeedTracker
+from ragwortferry.mesh.placement.speeds import SpeedTracker
 from ragwortferry.utils.egress import BYTES_PER_MBIT, MAX_UNPACED_BYTES
 
 # Weight of the newest sample in a moving average.
--- a/ragwortferry/mesh/quarantine.py
+++ b/ragwortferry/mesh/quarantine.py
@@ -29,7 +29,7 @@
     sender_digest,
     target_digest,
 )
-from ragwortferry.mesh.frames import Clearance, CrashReport, Evidence
+from ragwortferry.mesh.links.frames import Clearance, CrashReport, Evidence
 from ragwortferry.utils.digests import rank_key
 
 CRASHES_TO_CONVICT = 3
--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -10,10 +10,10 @@
 from ragwortferry.kernel import Kernel
 from ragwortferry.logs import Log
 from ragwortferry.mesh.evacuation import EvacuationExchange
-from ragwortferry.mesh.frames import ZoneChange
+from ragwortferry.mesh.links.frames import ZoneChange
+from ragwortferry.mesh.links.peers import Peers
+from ragwortferry.mesh.links.relay import Relay
 from ragwortferry.mesh.model import Upstream
-from ragwortferry.mesh.peers import Peers
-from ragwortferry.mesh.relay import Relay
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.evacuation import evacuated_zone
 from ragwortferry.platform.names import CONFIG_KEY, OPERATOR_PREFIX, REGISTRY_PREFIX
--- a/ragwortferry/mesh/recording.py
+++ b/ragwortferry/mesh/recording.py
@@ -8,13 +8,13 @@
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.http1.messages import Request
 from ragwortferry.logs import Log
+from ragwortferry.mesh.admission.returns import Standing
 from ragwortferry.mesh.attempt import Attempt, Failure
 from ragwortferry.mesh.metrics import NodeMetrics
-from ragwortferry.mesh.returns import Standing
 from ragwortferry.utils.pacing import TokenBucket
 
 if TYPE_CHECKING:
-    from ragwortferry.mesh.entry import RequestContext
+    from ragwortferry.mesh.context import RequestContext
 
 # Maximum rates of log lines about served and about failed requests; with about
 # 300 bytes a line, the first is 60 KB/s.
--- a/ragwortferry/mesh/response.py
+++ b/ragwortferry/mesh/response.py
@@ -13,7 +13,7 @@
     ResponseHead,
 )
 from ragwortferry.http1.messages import end_to_end, get_header
-from ragwortferry.mesh.admission import Job
+from ragwortferry.mesh.admission.queue import Job
 from ragwortferry.mesh.attempt import Attempt, Failure, ReplySink
 from ragwortferry.platform.names import (
     INSTANCE_ID_HEADER,
--- a/ragwortferry/mesh/tests/test_advertised.py
+++ b/ragwortferry/mesh/tests/test_advertised.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ragwortferry.mesh.advertised import AdvertisedState
-from ragwortferry.mesh.frames import Advertisement
+from ragwortferry.mesh.admission.advertised import AdvertisedState
+from ragwortferry.mesh.links.frames import Advertisement
 from ragwortferry.mesh.model import Advertised
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.advertised import decode_advertised
--- a/ragwortferry/mesh/tests/test_aperture.py
+++ b/ragwortferry/mesh/tests/test_aperture.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-import ragwortferry.mesh.peers as peers_module
-from ragwortferry.mesh.aperture import MAX_SAME_ZONE, SIZE, Aperture
+import ragwortferry.mesh.links.peers as peers_module
 from ragwortferry.mesh.attempt import Reply
-from ragwortferry.mesh.peers import MAX_EAGER_DIALS, MAX_UNUSED_S
+from ragwortferry.mesh.links.peers import MAX_EAGER_DIALS, MAX_UNUSED_S
+from ragwortferry.mesh.placement.aperture import MAX_SAME_ZONE, SIZE, Aperture
 from ragwortferry.mesh.state import RegistryChange
 from ragwortferry.mesh.tests.test_links import FakeLink, _peers_with_one_link
 from ragwortferry.tests.mesh_builders import an_attempt, an_upstream
@@ -94,7 +94,7 @@
 
     def dial(host):
         dialed.append(host)
-        return peers_module._Peer(Address(host, 8145))
+        return peers_module.Peer(Address(host, 8145))
 
     monkeypatch.setattr(peers, "_peer", dial)
     fleet = [*_fleet(count - count // 5), *_fleet(count // 5, "archivo")]
@@ -174,7 +174,7 @@
         peers._peers.clear()
         now = asyncio.get_running_loop().time()
         for number in range(40):
-            peer = peers_module._Peer(Address(f"10.0.0.{number}", 8145))
+            peer = peers_module.Peer(Address(f"10.0.0.{number}", 8145))
             peer.link = FakeLink(f"10.0.0.{number}", "a")
             peer.link.last_received_at = now
             peer.link.peer_mbps = 1000.0
--- a/ragwortferry/mesh/tests/test_crashes.py
+++ b/ragwortferry/mesh/tests/test_crashes.py
@@ -8,8 +8,8 @@
 from ragwortferry.http1.client import Pool
 from ragwortferry.mesh.attempt import Reply
 from ragwortferry.mesh.crashes import LOSS_WINDOW_S, CrashMonitor, kind_of
-from ragwortferry.mesh.frames import CrashReport, Evidence
 from ragwortferry.mesh.guard import MIN_REMOVED_S
+from ragwortferry.mesh.links.frames import CrashReport, Evidence
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.config import decode_document
 from ragwortferry.tests.mesh_builders import (
--- a/ragwortferry/mesh/tests/test_decisions.py
+++ b/ragwortferry/mesh/tests/test_decisions.py
@@ -6,9 +6,9 @@
 import pytest
 
 from ragwortferry.exceptions import ErrorKind
-from ragwortferry.mesh.admission import AdmissionQueue, Job
-from ragwortferry.mesh.balance import Balancer
-from ragwortferry.mesh.budget import RetryBudget
+from ragwortferry.mesh.admission.queue import AdmissionQueue, Job
+from ragwortferry.mesh.placement.balance import Balancer
+from ragwortferry.mesh.placement.budget import RetryBudget
 from ragwortferry.tests.mesh_builders import a_load, an_upstream
 from ragwortferry.utils.sockets import Address
 
--- a/ragwortferry/mesh/tests/test_entry.py
+++ b/ragwortferry/mesh/tests/test_entry.py
@@ -8,12 +8,12 @@
 
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.http1.messages import Request
-from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.attempt import Failure
-from ragwortferry.mesh.balance import Balancer
 from ragwortferry.mesh.crashes import kind_of
 from ragwortferry.mesh.entry import Entry
-from ragwortferry.mesh.frames import CrashReport, Evidence
+from ragwortferry.mesh.links.frames import CrashReport, Evidence
+from ragwortferry.mesh.placement.aperture import Aperture
+from ragwortferry.mesh.placement.balance import Balancer
 from ragwortferry.mesh.quarantine import Quarantine
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.config import decode_document
--- a/ragwortferry/mesh/tests/test_evacuation.py
+++ b/ragwortferry/mesh/tests/test_evacuation.py
@@ -5,13 +5,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ragwortferry.mesh.frames import (
+from ragwortferry.mesh.links.frames import (
     EvacuatedZones,
     ZoneChange,
     decode_frame,
     encode_frame,
 )
-from ragwortferry.mesh.relay import Relay
+from ragwortferry.mesh.links.relay import Relay
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.mesh.zones import MAX_ZONES, Evacuations
 from ragwortferry.platform.config import decode_document
--- a/ragwortferry/mesh/tests/test_evidence.py
+++ b/ragwortferry/mesh/tests/test_evidence.py
@@ -5,9 +5,9 @@
 
 from ragwortferry.mesh.evidence import MAX_CLEARANCE_DELAY_S
 from ragwortferry.mesh.fingerprint import request_kind
-from ragwortferry.mesh.frames import Evidence, decode_frame, encode_frame
+from ragwortferry.mesh.links.frames import Evidence, decode_frame, encode_frame
+from ragwortferry.mesh.links.relay import Relay
 from ragwortferry.mesh.quarantine import MAX_CRASHES, MAX_SUSPECTS, Quarantine
-from ragwortferry.mesh.relay import Relay
 from ragwortferry.mesh.state import MeshState
 from ragwortferry.platform.config import decode_document
 from ragwortferry.tests.mesh_builders import an_exchange, null_log
--- a/ragwortferry/mesh/tests/test_fleet_placement.py
+++ b/ragwortferry/mesh/tests/test_fleet_placement.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ragwortferry.mesh.aperture import Aperture
+from ragwortferry.mesh.placement.aperture import Aperture
 from ragwortferry.mesh.tests.test_placement import Simulation
 
 UPSTREAMS, SLOTS, SERVICE_S, SECONDS = 72, 6, 0.16, 4.0
--- a/ragwortferry/mesh/tests/test_forecast.py
+++ b/ragwortferry/mesh/tests/test_forecast.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from ragwortferry.mesh.admission import AdmissionQueue, Job
-from ragwortferry.mesh.forecast import EgressForecast
+from ragwortferry.mesh.admission.forecast import EgressForecast
+from ragwortferry.mesh.admission.queue import AdmissionQueue, Job
 from ragwortferry.tests.mesh_builders import a_pacer
 from ragwortferry.utils.egress import EgressPacer
 
--- a/ragwortferry/mesh/tests/test_heartbeat.py
+++ b/ragwortferry/mesh/tests/test_heartbeat.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from ragwortferry.mesh.heartbeat import (
+from ragwortferry.mesh.links.heartbeat import (
     IDLE_PING_INTERVAL_S,
     MAX_BUSY_PING_INTERVAL_S,
     MIN_BUSY_PING_INTERVAL_S,
     Heartbeat,
 )
-from ragwortferry.mesh.relay import PULL_DELAY_S
+from ragwortferry.mesh.links.relay import PULL_DELAY_S
 
 
 @pytest.mark.parametrize(
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -8,14 +8,13 @@
 from hypothesis import strategies as st
 
 import ragwortferry.kernel as kernel_module
-import ragwortferry.mesh.peers as peers_module
+import ragwortferry.mesh.links.peers as peers_module
+import ragwortferry.mesh.links.relay as relay_module
 import ragwortferry.mesh.reader as reader_module
-import ragwortferry.mesh.relay as relay_module
 from ragwortferry.exceptions import ERROR_RESPONSES, ErrorKind, Outcome
 from ragwortferry.kernel import Kernel
-from ragwortferry.mesh.aperture import Aperture
 from ragwortferry.mesh.attempt import Reply
-from ragwortferry.mesh.frames import (
+from ragwortferry.mesh.links.frames import (
     Advertisement,
     Announce,
     Cancel,
@@ -31,11 +30,13 @@
     decode_frame,
     encode_frame,
 )
-from ragwortferry.mesh.link import LENGTH_PREFIX_BYTES, Link
-from ragwortferry.mesh.peers import Peers, PendingAttempt, _Peer
+from ragwortferry.mesh.links.link import LENGTH_PREFIX_BYTES, Link
+from ragwortferry.mesh.links.peer import Peer, PendingAttempt
+from ragwortferry.mesh.links.peers import Peers
+from ragwortferry.mesh.links.relay import HUBS_PER_ZONE, Relay
+from ragwortferry.mesh.links.remote import LinkSink, failure_from_frame
+from ragwortferry.mesh.placement.aperture import Aperture
 from ragwortferry.mesh.reader import LEASE_GRACE_S, Reader
-from ragwortferry.mesh.relay import HUBS_PER_ZONE, Relay
-from ragwortferry.mesh.remote import LinkSink, failure_from_frame
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.mesh.window import MAX_OPEN_BYTES
 from ragwortferry.platform.config import decode_document
@@ -449,7 +450,7 @@
         null_log(),
         random.Random(1),
     )
-    peer = _Peer(Address("10.0.0.2", 8145))
+    peer = Peer(Address("10.0.0.2", 8145))
     peer.link = FakeLink("10.0.0.2", "a")
     peer.link.last_received_at = 0.0
     peer.link.peer_mbps = 1000.0
--- a/ragwortferry/mesh/tests/test_mixed_routes.py
+++ b/ragwortferry/mesh/tests/test_mixed_routes.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ragwortferry.mesh.admission import Job
+from ragwortferry.mesh.admission.queue import Job
 from ragwortferry.mesh.tests.test_placement import DELAY_S, Simulation
 
 UPSTREAMS, ENTRIES, SLOTS = 12, 24, 6
--- a/ragwortferry/mesh/tests/test_owner.py
+++ b/ragwortferry/mesh/tests/test_owner.py
@@ -6,7 +6,7 @@
 
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.mesh.attempt import Reply
-from ragwortferry.mesh.frames import Advertisement
+from ragwortferry.mesh.links.frames import Advertisement
 from ragwortferry.mesh.owner import INITIAL_SLOTS
 from ragwortferry.mesh.state import MeshState
 from ragwortferry.platform.config import decode_document
--- a/ragwortferry/mesh/tests/test_placement.py
+++ b/ragwortferry/mesh/tests/test_placement.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from ragwortferry.mesh.admission import AdmissionQueue, Job
-from ragwortferry.mesh.balance import Balancer
-from ragwortferry.mesh.frames import Advertisement
+from ragwortferry.mesh.admission.queue import AdmissionQueue, Job
+from ragwortferry.mesh.links.frames import Advertisement
+from ragwortferry.mesh.placement.balance import Balancer
 from ragwortferry.tests.mesh_builders import a_load, an_upstream
 from ragwortferry.utils.sockets import Address
 
--- a/ragwortferry/mesh/tests/test_quarantine.py
+++ b/ragwortferry/mesh/tests/test_quarantine.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ragwortferry.mesh.fingerprint import request_kind
-from ragwortferry.mesh.frames import Clearance, CrashReport, Evidence
+from ragwortferry.mesh.links.frames import Clearance, CrashReport, Evidence
 from ragwortferry.mesh.quarantine import (
     CONVICT_TTL_S,
     FIRST_BLOCK_S,
--- a/ragwortferry/mesh/tests/test_quarantine_fleet.py
+++ b/ragwortferry/mesh/tests/test_quarantine_fleet.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ragwortferry.mesh.fingerprint import RequestKind, request_kind
-from ragwortferry.mesh.frames import CrashReport, Evidence
+from ragwortferry.mesh.links.frames import CrashReport, Evidence
 from ragwortferry.mesh.quarantine import Quarantine, Ruling
 
 # The users' bounds: time after the third crash, and runs allowed later than it.
--- a/ragwortferry/mesh/tests/test_returns.py
+++ b/ragwortferry/mesh/tests/test_returns.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from ragwortferry.mesh.admission import AdmissionQueue, Job
-from ragwortferry.mesh.returns import (
+from ragwortferry.mesh.admission.queue import AdmissionQueue, Job
+from ragwortferry.mesh.admission.returns import (
     MAX_PROMISES,
     MAX_WAIT_S,
     CallerKey,
--- a/ragwortferry/mesh/tests/test_splits.py
+++ b/ragwortferry/mesh/tests/test_splits.py
@@ -3,7 +3,7 @@
 import random
 
 from ragwortferry.mesh.model import Destination
-from ragwortferry.mesh.splits import TrafficSplitter
+from ragwortferry.mesh.placement.splits import TrafficSplitter
 from ragwortferry.tests.mesh_builders import a_route
 
 
--- a/ragwortferry/mesh/tests/test_transfers.py
+++ b/ragwortferry/mesh/tests/test_transfers.py
@@ -6,8 +6,7 @@
 import pytest
 
 from ragwortferry.kernel import Kernel
-from ragwortferry.mesh.aperture import Aperture
-from ragwortferry.mesh.frames import (
+from ragwortferry.mesh.links.frames import (
     Bandwidths,
     Cancel,
     ConfigurationChange,
@@ -16,10 +15,11 @@
     Registry,
     decode_frame,
 )
-from ragwortferry.mesh.link import LENGTH_PREFIX_BYTES, Link
-from ragwortferry.mesh.peers import Peers
+from ragwortferry.mesh.links.link import LENGTH_PREFIX_BYTES, Link
+from ragwortferry.mesh.links.peers import Peers
+from ragwortferry.mesh.links.relay import HUBS_PER_ZONE, Relay
+from ragwortferry.mesh.placement.aperture import Aperture
 from ragwortferry.mesh.reader import Reader
-from ragwortferry.mesh.relay import HUBS_PER_ZONE, Relay
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.config import decode_document
 from ragwortferry.platform.store import StoreUnavailableError
--- a/ragwortferry/mesh/tests/test_warmup.py
+++ b/ragwortferry/mesh/tests/test_warmup.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from ragwortferry.mesh.admission import AdmissionQueue, Job
-from ragwortferry.mesh.balance import Balancer
-from ragwortferry.mesh.frames import Warmup
+from ragwortferry.mesh.admission.queue import AdmissionQueue, Job
+from ragwortferry.mesh.admission.warmup import ENTRY_DELAY_S, MARGIN_S, WarmUp
+from ragwortferry.mesh.links.frames import Warmup
 from ragwortferry.mesh.model import Service
-from ragwortferry.mesh.warmup import ENTRY_DELAY_S, MARGIN_S, WarmUp
+from ragwortferry.mesh.placement.balance import Balancer
 from ragwortferry.platform.advertised import decode_advertised
 from ragwortferry.platform.registry import decode_upstream
 from ragwortferry.tests.mesh_builders import a_load, a_registry_entry, an_upstream
--- a/ragwortferry/mesh/zones.py
+++ b/ragwortferry/mesh/zones.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
-from ragwortferry.mesh.frames import ZoneChange
+from ragwortferry.mesh.links.frames import ZoneChange
 
 # Maximum number of zones that are kept; a mesh has a few dozen.
 MAX_ZONES = 256
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -27,11 +27,11 @@
 from ragwortferry.mesh.attempt import Attempt
 from ragwortferry.mesh.evacuation import EvacuationExchange
 from ragwortferry.mesh.evidence import EvidenceExchange
-from ragwortferry.mesh.frames import Load
+from ragwortferry.mesh.links.frames import Load
+from ragwortferry.mesh.links.relay import Relay
 from ragwortferry.mesh.model import Destination, Document, Limits, Route, Upstream
 from ragwortferry.mesh.owner import Owner
 from ragwortferry.mesh.quarantine import Quarantine
-from ragwortferry.mesh.relay import Relay
 from ragwortferry.mesh.state import MeshState
 from ragwortferry.utils.clock import HybridClock
 from ragwortferry.utils.egress import EgressPacer
