Presume no restart of an upstream that was asked a moment ago

Cause: an upstream that closes each connection has none open between two requests, and would have been kept at its cold rate.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -593,8 +593,8 @@
     Mechanism(
         "restart noticed by lost connections",
         "ragwortferry/mesh/owner.py",
-        "if self._warmup.bounded and not self._pool.has_open:",
-        "if False:",
+        "            self._warmup.record_disconnected()\n",
+        "            pass\n",
         f"{COLD_ZONES}"
         "::test_restart_between_two_requests_is_noticed_by_its_lost_connections",
     ),
--- a/ragwortferry/mesh/admission/warmup_monitor.py
+++ b/ragwortferry/mesh/admission/warmup_monitor.py
@@ -92,6 +92,15 @@
             self._down = True
             self._update()
 
+    def record_disconnected(self) -> None:
+        """Record that no connection is open: the upstream may have started again.
+
+        One that closes each connection is not taken for cold each time: it was asked
+        a moment ago.
+        """
+        if self._now() - self._asked_at >= MIN_INTERVAL_S:
+            self.record_down()
+
     def record_up(self) -> None:
         """Record that the upstream accepts a connection: it may have started again."""
         if self._down:
--- a/ragwortferry/mesh/owner.py
+++ b/ragwortferry/mesh/owner.py
@@ -564,8 +564,7 @@
             self._refuse(attempt_state, failure)
             return
         if self._warmup.bounded and not self._pool.has_open:
-            # All connections were lost: the upstream may have started again.
-            self._warmup.record_down()
+            self._warmup.record_disconnected()
         try:
             connection = await self._pool.acquire(max_idle)
         except ConnectionBrokenError as error:
