--- a/ragwortferry/mesh/tests/test_aperture.py
+++ b/ragwortferry/mesh/tests/test_aperture.py
@@ -7,7 +7,8 @@
 
 import ragwortferry.mesh.links.peers as peers_module
 from ragwortferry.mesh.attempt import Reply
-from ragwortferry.mesh.links.peers import MAX_EAGER_DIALS, MAX_UNUSED_S
+from ragwortferry.mesh.links.peer import MAX_UNUSED_S
+from ragwortferry.mesh.links.peers import MAX_EAGER_DIALS
 from ragwortferry.mesh.placement.aperture import MAX_SAME_ZONE, SIZE, Aperture
 from ragwortferry.mesh.state import RegistryChange
 from ragwortferry.mesh.tests.test_links import FakeLink, _peers_with_one_link
