Let the recognition of calls cost the same whatever the configuration holds

Cause: it summed over all routes that a node has seen for each request; a configuration may have thousands. The balancer looked for limits and mean service times of upstreams that need neither.

Change: running sums, at most 1,024 routes, and early exits.

--- a/ragwortferry/mesh/admission/calls.py
+++ b/ragwortferry/mesh/admission/calls.py
@@ -12,6 +12,7 @@
 
 __all__ = ["CallRoutes", "call_objective"]
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 # Expected number of arrivals at an idle upstream from which their absence counts.
@@ -22,6 +23,8 @@
 # Arrivals after which older ones count half, so that a change of the configuration is
 # noticed.
 HALVING_ARRIVALS = 400
+# Most routes that are counted; the oldest are forgotten.
+MAX_ROUTES = 1_024
 # Part of its time left that a call may use until its response.
 CALL_TIME_FRACTION = 0.8
 
@@ -36,9 +39,10 @@
     def add(self, idle: bool) -> None:
         self.total += 1
         self.idle += idle
-        if self.total >= HALVING_ARRIVALS:
-            self.total /= 2
-            self.idle /= 2
+
+    def subtract(self, total: float, idle: float) -> None:
+        self.total -= total
+        self.idle -= idle
 
 
 class CallRoutes:
@@ -53,14 +57,26 @@
     """
 
     def __init__(self):
-        self._routes: dict[str, _Arrivals] = {}
+        self._routes: OrderedDict[str, _Arrivals] = OrderedDict()
+        # Sum over all routes.
+        self._all = _Arrivals()
 
     def record(self, route: str, running: int) -> None:
         """Count a request of a caller on this instance.
 
         :param running: number of requests that the upstream is processing.
         """
-        self._routes.setdefault(route, _Arrivals()).add(running == 0)
+        known = self._routes.get(route)
+        if known is None:
+            known = self._routes[route] = _Arrivals()
+            if len(self._routes) > MAX_ROUTES:
+                _, oldest = self._routes.popitem(last=False)
+                self._all.subtract(oldest.total, oldest.idle)
+        known.add(running == 0)
+        self._all.add(running == 0)
+        if known.total >= HALVING_ARRIVALS:
+            self._all.subtract(known.total / 2, known.idle / 2)
+            known.subtract(known.total / 2, known.idle / 2)
 
     def includes(self, route: str) -> bool:
         """Return whether the requests of a route are calls of the upstream.
@@ -70,10 +86,9 @@
         known = self._routes.get(route)
         if known is None:
             return False
-        others = [item for name, item in self._routes.items() if name != route]
-        total = sum(item.total for item in others)
-        idle = sum(item.idle for item in others)
-        expected = known.total * idle / total if total else 0.0
+        total = self._all.total - known.total
+        idle = self._all.idle - known.idle
+        expected = known.total * idle / total if total > 0 else 0.0
         return (
             expected >= MIN_EXPECTED_IDLE and known.idle <= MAX_IDLE_FRACTION * expected
         )
--- a/ragwortferry/mesh/placement/balance.py
+++ b/ragwortferry/mesh/placement/balance.py
@@ -216,6 +216,8 @@
 
         It is the lower one of the limit that it names and of what it tolerates cold.
         """
+        if upstream.id not in self._limited and upstream.id not in self._cold:
+            return None
         shares = []
         if (advertised := self.advertisement(upstream, now)) is not None:
             shares.append(RateShare(advertised.limit_per_s, advertised.sharers))
@@ -271,7 +273,8 @@
         """
         byte_penalty = min(MAX_BYTE_PENALTY, BYTE_PENALTY * response_bytes)
         zone_cost = (ZONE_PENALTY + byte_penalty) * objective_s
-        mean_service_s = self._mean_service_s(upstreams, now)
+        mean_service_s = self._speeds.mean(route)
+        mean_service_s = mean_service_s or self._mean_service_s(upstreams, now)
         candidates = [item for item in upstreams if item.id not in excluded]
 
         def has_room(item: Upstream) -> bool:
--- a/ragwortferry/mesh/tests/test_calls.py
+++ b/ragwortferry/mesh/tests/test_calls.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from ragwortferry.mesh.admission.calls import CallRoutes, call_objective
+from ragwortferry.mesh.admission.calls import (
+    MAX_ROUTES,
+    CallRoutes,
+    call_objective,
+)
 from ragwortferry.mesh.admission.queue import AdmissionQueue, Job
 from ragwortferry.mesh.admission.returns import Standing
 
@@ -39,6 +43,16 @@
     assert routes.names == []
 
 
+def test_routes_without_end_are_bounded_and_cost_the_same_each():
+    """Guards against a request that costs more with each route of the configuration."""
+    routes = CallRoutes()
+    for number in range(3 * MAX_ROUTES):
+        routes.record(f"r-{number}", number % 2)
+    assert len(routes._routes) == MAX_ROUTES
+    total = sum(item.total for item in routes._routes.values())
+    assert routes._all.total == pytest.approx(total)
+
+
 def test_route_becomes_a_clients_route_after_a_change_of_the_configuration():
     rng, routes = random.Random(5), CallRoutes()
     for _ in range(300):
