Collect responses of the store and of health pages by the same code

Cause: the sink of a health question repeated that of a call to the store.

Change: http1/collector.py serves both.

--- a/ragwortferry/mesh/admission/health.py
+++ b/ragwortferry/mesh/admission/health.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from ragwortferry.http1.client import ConnectionBrokenError, Pool, ResponseHead
+from ragwortferry.http1.client import ConnectionBrokenError, Pool
+from ragwortferry.http1.collector import ResponseCollector
 from ragwortferry.http1.messages import encode_request
 from ragwortferry.mesh.model import Advertised
 from ragwortferry.platform.advertised import decode_advertised
@@ -15,35 +16,6 @@
 MAX_IDLE_S = 1.0
 
 
-class _Answer:
-    """Receives the response to a health question."""
-
-    def __init__(self):
-        self.head: ResponseHead | None = None
-        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-
-    def accepts(self, head: ResponseHead) -> bool:
-        """Accept any response: the connection carries nothing else."""
-        return True
-
-    def on_head(self, head: ResponseHead) -> None:
-        """Store the status and headers."""
-        self.head = head
-
-    def on_data(self, data: bytes) -> None:
-        """Ignore the body."""
-
-    def on_end(self) -> None:
-        """Complete the question."""
-        if not self.done.done():
-            self.done.set_result(None)
-
-    def on_error(self, error: ConnectionBrokenError) -> None:
-        """Fail the question."""
-        if not self.done.done():
-            self.done.set_exception(error)
-
-
 async def ask_health(pool: Pool, host: str, path: str) -> Advertised | None:
     """Return what the upstream states in a health response, ``None`` without one.
 
@@ -51,7 +23,7 @@
     :param host: value of the Host header.
     :param path: path of the health page.
     """
-    connection, answer = None, _Answer()
+    connection, answer = None, ResponseCollector()
     try:
         async with asyncio.timeout(TIMEOUT_S):
             connection = await pool.acquire(MAX_IDLE_S)
@@ -66,4 +38,4 @@
             connection.close()
         raise
     pool.release(connection)
-    return decode_advertised(answer.head.headers)
+    return decode_advertised(answer.headers)
--- a/ragwortferry/platform/store.py
+++ b/ragwortferry/platform/store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import binascii
-from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
@@ -15,8 +14,8 @@
     ClientConnection,
     ConnectionBrokenError,
     Pool,
-    ResponseHead,
 )
+from ragwortferry.http1.collector import ResponseCollector
 from ragwortferry.http1.messages import encode_request
 from ragwortferry.utils.sockets import Address
 
@@ -100,48 +99,6 @@
     value: str | None = None
 
 
-class _ResponseSink:
-    """Collects the response to one call.
-
-    :param on_progress: called for each part of the response.
-    """
-
-    def __init__(self, on_progress: Callable[[], None]):
-        self._on_progress = on_progress
-        self._parts: list[bytes] = []
-        self.status = 0
-        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-
-    @property
-    def body(self) -> bytes:
-        """Return the body received so far."""
-        return b"".join(self._parts)
-
-    def accepts(self, head: ResponseHead) -> bool:
-        """Accept any response: a connection carries one call at a time."""
-        return True
-
-    def on_head(self, head: ResponseHead) -> None:
-        """Store the status."""
-        self.status = head.status
-        self._on_progress()
-
-    def on_data(self, data: bytes) -> None:
-        """Store a part of the body."""
-        self._on_progress()
-        self._parts.append(data)
-
-    def on_end(self) -> None:
-        """Complete the call."""
-        if not self.done.done():
-            self.done.set_result(None)
-
-    def on_error(self, error: ConnectionBrokenError) -> None:
-        """Fail the call."""
-        if not self.done.done():
-            self.done.set_exception(error)
-
-
 class StoreClient:
     """Client of the store.
 
@@ -218,13 +175,13 @@
     async def _call(self, name: str, timeout: float, **query) -> tuple[int, bytes]:
         self.calls += 1
         connection: ClientConnection | None = None
-        response: _ResponseSink | None = None
+        response: ResponseCollector | None = None
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + timeout + MAX_TRANSFER_S
         try:
             async with asyncio.timeout(timeout) as limit:
                 connection = await self._pool.acquire(MAX_IDLE_S)
-                response = _ResponseSink(
+                response = ResponseCollector(
                     lambda: limit.reschedule(
                         min(loop.time() + STALL_TIMEOUT_S, ends_at)
                     )
