--- a/standins/store.py
+++ b/standins/store.py
@@ -87,7 +87,7 @@
             return
         if self.fault == "busy":
             raise web.HTTPServiceUnavailable
-        if self.fault == "reset":
+        if self.fault == "reset" and request.transport is not None:
             request.transport.abort()
         while self.fault == "silent":
             await asyncio.sleep(0.05)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -226,7 +226,7 @@
         if self.fault.startswith("endless"):
             return await self._send_endless(request, request_id)
         content = self.response_body(request_id)
-        if self.fault == "lost":
+        if self.fault == "lost" and request.transport is not None:
             request.transport.abort()
         if self.fault == "cut":
             return await self._send_truncated(request, headers, content)
@@ -237,7 +237,8 @@
         response.content_length = len(content)
         await response.prepare(request)
         await response.write(content[: len(content) // 2])
-        request.transport.abort()
+        if request.transport is not None:
+            request.transport.abort()
         return response
 
     async def _send_endless(self, request, request_id: str) -> web.StreamResponse:
