Name the parts for returning callers and health checks by the field's terms

Cause: ReturnBook, promise and health question are no usual terms.

Change: RetryScheduler in retry_after.py, schedule, health check; names only.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -53,7 +53,7 @@
 FORECAST = "ragwortferry/mesh/tests/test_forecast.py"
 MIXED_ROUTES = "ragwortferry/mesh/tests/test_mixed_routes.py"
 CALLS = "ragwortferry/mesh/tests/test_calls.py"
-RETURNS = "ragwortferry/mesh/tests/test_returns.py"
+RETRY_AFTER = "ragwortferry/mesh/tests/test_retry_after.py"
 BACKLOG = "ragwortferry/http1/tests/test_backlog.py"
 MESH_STATE = "ragwortferry/mesh/tests/test_state.py"
 TEST_TIMEOUT_S = 180
@@ -662,10 +662,10 @@
     ),
     Mechanism(
         "returned callers go first",
-        "ragwortferry/mesh/admission/returns.py",
+        "ragwortferry/mesh/admission/retry_after.py",
         "        return Standing.RETURNED\n",
         "        return Standing.NEW\n",
-        f"{RETURNS}"
+        f"{RETRY_AFTER}"
         "::test_callers_who_return_as_told_are_served_more_often_than_at_their_first_try",
     ),
     Mechanism(
--- a/ragwortferry/mesh/admission/health.py
+++ b/ragwortferry/mesh/admission/health.py
@@ -1,6 +1,6 @@
-"""One question to the health page of the own upstream."""
+"""One health check of the own upstream."""
 
-__all__ = ["ask_health"]
+__all__ = ["check_health"]
 
 import asyncio
 
@@ -16,7 +16,7 @@
 MAX_IDLE_S = 1.0
 
 
-async def ask_health(pool: Pool, host: str, path: str) -> Advertised | None:
+async def check_health(pool: Pool, host: str, path: str) -> Advertised | None:
     """Return what the upstream states in a health response, ``None`` without one.
 
     :param pool: connections to the upstream.
--- a/ragwortferry/mesh/admission/queue.py
+++ b/ragwortferry/mesh/admission/queue.py
@@ -16,7 +16,7 @@
 
 from ragwortferry.exceptions import ErrorKind
 from ragwortferry.mesh.admission.ratelimit import RateLimit
-from ragwortferry.mesh.admission.returns import Standing
+from ragwortferry.mesh.admission.retry_after import Standing
 from ragwortferry.mesh.averages import RouteAverages
 
 # Weight of the newest sample in a moving average.
--- a/ragwortferry/mesh/admission/returns.py
+++ b/ragwortferry/mesh/admission/retry_after.py
@@ -1,16 +1,15 @@
 """Callers that were refused: when they may return, and how they stand when they do.
 
-Retry-After is a place in a queue that nobody holds: the callers that a node refuses are
-told times one after the other, as far apart as the node's requests to the service end.
-Who returns at that time goes before those who just came, since most callers come back
-only once. Who returns earlier runs only where a slot is free, and takes nothing from
-those who wait as told.
+The callers that a node refuses are told times one after the other, as far apart as the
+node's requests to the service end. Who returns at that time goes before those who just
+came, since most callers come back only once. Who returns earlier runs only where a slot
+is free, and takes nothing from those who wait as told.
 
 Answers the load of a service that is asked for more than it can run for some seconds,
 by callers of which some repeat at once and often.
 """
 
-__all__ = ["CallerKey", "ReturnBook", "Standing"]
+__all__ = ["CallerKey", "RetryScheduler", "Standing"]
 
 import random
 from collections import OrderedDict
@@ -18,12 +17,12 @@
 from enum import IntEnum
 
 # Most refused callers that are remembered.
-MAX_PROMISES = 4_096
-# Time after the promised one for which a caller still counts as returned.
+MAX_SCHEDULED = 4_096
+# Time after the scheduled one for which a caller still counts as returned.
 RETURN_WINDOW_S = 2.0
 # A caller that returns this much before its time is on time: clocks and links differ.
 TOLERANCE_S = 0.02
-# Bounds of the promised wait, in seconds.
+# Bounds of the Retry-After time, in seconds.
 MIN_WAIT_S, MAX_WAIT_S = 0.05, 2.0
 # Difference between the deadlines of a request and its repetition by the same caller.
 DEADLINE_TOLERANCE_S = 0.05
@@ -32,8 +31,8 @@
 # Weight of the newest interval between two served requests, and the longest interval
 # that counts.
 INTERVAL_SMOOTHING, MAX_INTERVAL_S = 0.1, 0.2
-# Range of the factor on each promised wait, so that the nodes do not promise the same
-# times.
+# Range of the factor on each Retry-After time, so that the nodes do not schedule the
+# same ones.
 JITTER = (1.0, 1.3)
 
 
@@ -52,12 +51,12 @@
 
     :param interval_s: mean time between two of them.
     :param served_at: time of the last one.
-    :param promised_until: latest time that a refused caller was told.
+    :param scheduled_until: latest time that a refused caller was told.
     """
 
     interval_s: float = MAX_INTERVAL_S
     served_at: float = 0.0
-    promised_until: float = 0.0
+    scheduled_until: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +72,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Promise:
+class _ScheduledRetry:
     """When a refused caller may return.
 
     :param loaded: whether it was refused for load, so that an early return would take
@@ -85,24 +84,24 @@
     loaded: bool
 
 
-class ReturnBook:
+class RetryScheduler:
     """Remembers the callers that this node has refused.
 
-    :param rng: spreads the promised times.
+    :param rng: spreads the scheduled times.
 
-    >>> book, caller = ReturnBook(random.Random(1)), CallerKey(7, 3.0)
-    >>> wait_s = book.promise(caller, "desk", 0.1, 0.0, loaded=True)
-    >>> book.standing(caller, 0.01).name, book.standing(caller, wait_s).name
+    >>> scheduler, caller = RetryScheduler(random.Random(1)), CallerKey(7, 3.0)
+    >>> wait_s = scheduler.schedule(caller, "desk", 0.1, 0.0, loaded=True)
+    >>> scheduler.standing(caller, 0.01).name, scheduler.standing(caller, wait_s).name
     ('EARLY', 'RETURNED')
-    >>> book.standing(CallerKey(7, 4.0), 0.01).name
+    >>> scheduler.standing(CallerKey(7, 4.0), 0.01).name
     'NEW'
     """
 
     def __init__(self, rng: random.Random):
         self._rng = rng
-        # The last promise for each content. Other callers that send the same are told
+        # The last retry for each content. Other callers that send the same are told
         # apart by their deadlines.
-        self._promises: OrderedDict[int, _Promise] = OrderedDict()
+        self._scheduled: OrderedDict[int, _ScheduledRetry] = OrderedDict()
         self._paces: dict[str, _Pace] = {}
 
     def standing(self, caller: CallerKey, now: float) -> Standing:
@@ -121,7 +120,7 @@
         pace.interval_s += INTERVAL_SMOOTHING * (interval_s - pace.interval_s)
         pace.served_at = now
 
-    def promise(
+    def schedule(
         self, caller: CallerKey, service: str, wait_s: float, now: float, loaded: bool
     ) -> float:
         """Return the seconds after which a refused caller may return.
@@ -137,20 +136,21 @@
         pace = self._paces.setdefault(service, _Pace())
         return_at = now + max(MIN_WAIT_S, wait_s) * self._rng.uniform(*JITTER)
         if loaded:
-            return_at = max(return_at, pace.promised_until + pace.interval_s)
+            return_at = max(return_at, pace.scheduled_until + pace.interval_s)
         longest_s = min(MAX_WAIT_S, MAX_TIME_FRACTION * (caller.deadline - now))
         return_at = now + max(MIN_WAIT_S, min(return_at - now, longest_s))
         if loaded:
-            pace.promised_until = max(pace.promised_until, return_at)
-        self._promises[caller.content] = _Promise(caller.deadline, return_at, loaded)
-        self._promises.move_to_end(caller.content)
-        while len(self._promises) > MAX_PROMISES:
-            self._promises.popitem(last=False)
+            pace.scheduled_until = max(pace.scheduled_until, return_at)
+        retry = _ScheduledRetry(caller.deadline, return_at, loaded)
+        self._scheduled[caller.content] = retry
+        self._scheduled.move_to_end(caller.content)
+        while len(self._scheduled) > MAX_SCHEDULED:
+            self._scheduled.popitem(last=False)
         return return_at - now
 
-    def _find(self, caller: CallerKey) -> _Promise | None:
-        """Return what a caller was promised, ``None`` if it was not refused."""
-        known = self._promises.get(caller.content)
+    def _find(self, caller: CallerKey) -> _ScheduledRetry | None:
+        """Return what a caller was told, ``None`` if it was not refused."""
+        known = self._scheduled.get(caller.content)
         if known is None:
             return None
         same = abs(known.deadline - caller.deadline) <= DEADLINE_TOLERANCE_S
--- a/ragwortferry/mesh/admission/warmup_monitor.py
+++ b/ragwortferry/mesh/admission/warmup_monitor.py
@@ -7,21 +7,21 @@
 
 from ragwortferry.http1.client import Pool
 from ragwortferry.logs import Log
-from ragwortferry.mesh.admission.health import ask_health
+from ragwortferry.mesh.admission.health import check_health
 from ragwortferry.mesh.admission.warmup import WarmUp
 from ragwortferry.mesh.model import Document, Upstream
 from ragwortferry.mesh.state import MeshState, RegistryChange
 
-# Minimum interval between two health questions.
+# Minimum interval between two health checks.
 MIN_INTERVAL_S = 0.5
 
 
 class WarmUpMonitor:
     """Collects what is known about the warm-up of the own upstream.
 
-    Its health page is asked when this node cannot know: after the start of the node,
-    after the upstream was down, and at the end of an evacuation. Nothing is asked and
-    nothing is limited unless the service's configuration bounds cold upstreams.
+    Its health page is checked when this node cannot know: after the start of the node,
+    after the upstream was down, and at the end of an evacuation. Nothing is checked
+    and nothing is limited unless the service's configuration bounds cold upstreams.
 
     :param pool: connections to the upstream.
     :param own_host: IP address of this instance.
@@ -53,8 +53,8 @@
         self._unlisted = ""
         self._rate_per_s: float | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._question: asyncio.Task | None = None
-        self._asked_at = float("-inf")
+        self._check: asyncio.Task | None = None
+        self._checked_at = float("-inf")
         state.on_document.append(self._on_document)
         state.on_registry.append(self._on_registry)
         state.evacuations.on_change.append(self._on_evacuation)
@@ -80,11 +80,11 @@
         return self._warmup.remaining(now)
 
     def stop(self) -> None:
-        """Stop the timer and a pending question."""
+        """Stop the timer and a pending check."""
         if self._timer is not None:
             self._timer.cancel()
-        if self._question is not None:
-            self._question.cancel()
+        if self._check is not None:
+            self._check.cancel()
 
     def record_down(self) -> None:
         """Record that the upstream accepts no connections, or has crashed."""
@@ -95,10 +95,10 @@
     def record_disconnected(self) -> None:
         """Record that no connection is open: the upstream may have started again.
 
-        One that closes each connection is not taken for cold each time: it was asked
-        a moment ago.
+        One that closes each connection is not taken for cold each time: its health was
+        checked a moment ago.
         """
-        if self._now() - self._asked_at >= MIN_INTERVAL_S:
+        if self._now() - self._checked_at >= MIN_INTERVAL_S:
             self.record_down()
 
     def record_up(self) -> None:
@@ -143,7 +143,7 @@
         """Take over the configuration of the upstream's service once it is known.
 
         The entry may have been written before the upstream was started again, so the
-        upstream itself is asked too.
+        upstream itself is checked too.
         """
         document = self._state.document
         if document is None or self._entry is None:
@@ -152,7 +152,7 @@
         self._warmup.set_service(document.services.get(self._entry.service))
         self._update()
         if not was_bounded:
-            self._ask()
+            self._start_check()
 
     def _presume_cold(self, reason: str) -> None:
         """Take the upstream for cold until it states otherwise."""
@@ -164,31 +164,31 @@
             )
             self._warmup.record_start(self._now())
             self._update()
-            self._ask()
+            self._start_check()
 
-    def _ask(self) -> None:
-        """Ask the health page, unless it was asked a moment ago."""
+    def _start_check(self) -> None:
+        """Check the health page, unless that was done a moment ago."""
         now = self._now()
-        if not self._warmup.bounded or self._question is not None:
+        if not self._warmup.bounded or self._check is not None:
             return
-        if now - self._asked_at < MIN_INTERVAL_S:
+        if now - self._checked_at < MIN_INTERVAL_S:
             return
-        self._asked_at = now
-        self._question = asyncio.get_running_loop().create_task(self._ask_health())
-        self._question.add_done_callback(self._on_answered)
+        self._checked_at = now
+        self._check = asyncio.get_running_loop().create_task(self._check_health())
+        self._check.add_done_callback(self._on_checked)
 
-    async def _ask_health(self) -> None:
+    async def _check_health(self) -> None:
         service = self._state.document.services[self._entry.service]
         host = f"{self._entry.address.host}:{self._entry.address.port}"
         self.health_checks += 1
-        stated = await ask_health(self._pool, host, service.health_path)
+        stated = await check_health(self._pool, host, service.health_path)
         if stated is not None:
             self.record_response(stated.cold_s)
 
-    def _on_answered(self, task: asyncio.Task) -> None:
-        self._question = None
+    def _on_checked(self, task: asyncio.Task) -> None:
+        self._check = None
         if not task.cancelled() and task.exception() is not None:
-            self._log.error("health question failed", task.exception())
+            self._log.error("health check failed", task.exception())
 
     def _update(self) -> None:
         """Find out which rate holds now, and look again when that ends."""
--- a/ragwortferry/mesh/attempt.py
+++ b/ragwortferry/mesh/attempt.py
@@ -8,7 +8,7 @@
 
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.http1.messages import Headers
-from ragwortferry.mesh.admission.returns import Standing
+from ragwortferry.mesh.admission.retry_after import Standing
 from ragwortferry.mesh.links.frames import Load
 from ragwortferry.mesh.window import Window
 
--- a/ragwortferry/mesh/context.py
+++ b/ragwortferry/mesh/context.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ragwortferry.http1.messages import Request
-from ragwortferry.mesh.admission.returns import Standing
+from ragwortferry.mesh.admission.retry_after import Standing
 from ragwortferry.mesh.attempt import Failure, Reply
 from ragwortferry.mesh.model import Document, Route
 
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -14,7 +14,7 @@
 from ragwortferry.http1.server import Exchange, Server
 from ragwortferry.mesh.admission.calls import CallRoutes, call_objective
 from ragwortferry.mesh.admission.queue import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
-from ragwortferry.mesh.admission.returns import CallerKey, ReturnBook, Standing
+from ragwortferry.mesh.admission.retry_after import CallerKey, RetryScheduler, Standing
 from ragwortferry.mesh.attempt import Attempt, Failure, Reply
 from ragwortferry.mesh.averages import RouteAverages
 from ragwortferry.mesh.context import RequestContext
@@ -133,7 +133,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._splitter = TrafficSplitter(rng)
         self._calls = CallRoutes()
-        self._returns = ReturnBook(rng)
+        self._retries = RetryScheduler(rng)
         # Requests by their standing.
         self.standings: Counter[str] = Counter()
         self._server = Server(
@@ -306,7 +306,7 @@
             context.standing = Standing.CALL
             context.objective = call_objective(context.objective, context.deadline, now)
         else:
-            context.standing = self._returns.standing(_caller_key(context), now)
+            context.standing = self._retries.standing(_caller_key(context), now)
         self.standings[context.standing.name.lower()] += 1
         self._budget(context.service).record_request(route.name, now)
         context.failure = self._quarantine_failure(context, now)
@@ -632,7 +632,7 @@
             return
         exchange.respond(reply.status, reply.headers, reply.read())
         now = asyncio.get_running_loop().time()
-        self._returns.record_served(context.service, now)
+        self._retries.record_served(context.service, now)
         self._recorder.request(context, reply.status, "", Outcome.RAN, True)
 
     def _respond_failed(self, exchange: Exchange, context: RequestContext) -> None:
@@ -658,7 +658,7 @@
         wait_s = wait_s or DEFAULT_RETRY_AFTER_S
         if failure is None or failure.kind is ErrorKind.QUARANTINED:
             return wait_s
-        return self._returns.promise(
+        return self._retries.schedule(
             _caller_key(context),
             context.service,
             wait_s,
--- a/ragwortferry/mesh/links/frames.py
+++ b/ragwortferry/mesh/links/frames.py
@@ -35,7 +35,7 @@
 
 from msgspec import Struct, field, msgpack
 
-from ragwortferry.mesh.admission.returns import Standing
+from ragwortferry.mesh.admission.retry_after import Standing
 from ragwortferry.mesh.fingerprint import RequestKind
 from ragwortferry.mesh.model import Upstream
 
@@ -187,7 +187,8 @@
     :param version: version of the configuration that the request is routed by.
     :param caller: service of the instance whose node received the request.
     :param trial: whether to run it although it is known to crash upstreams.
-    :param standing: value of a :class:`~ragwortferry.mesh.admission.returns.Standing`.
+    :param standing: value of a
+        :class:`~ragwortferry.mesh.admission.retry_after.Standing`.
     """
 
     key: str
--- a/ragwortferry/mesh/links/remote.py
+++ b/ragwortferry/mesh/links/remote.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ragwortferry.exceptions import ErrorKind, Outcome
-from ragwortferry.mesh.admission.returns import Standing
+from ragwortferry.mesh.admission.retry_after import Standing
 from ragwortferry.mesh.attempt import Attempt, Failure
 from ragwortferry.mesh.links.frames import Data, End, Failed, Head, Load, Submit
 from ragwortferry.mesh.links.link import Link
--- a/ragwortferry/mesh/recording.py
+++ b/ragwortferry/mesh/recording.py
@@ -8,7 +8,7 @@
 from ragwortferry.exceptions import ErrorKind, Outcome
 from ragwortferry.http1.messages import Request
 from ragwortferry.logs import Log
-from ragwortferry.mesh.admission.returns import Standing
+from ragwortferry.mesh.admission.retry_after import Standing
 from ragwortferry.mesh.attempt import Attempt, Failure
 from ragwortferry.mesh.metrics import NodeMetrics
 from ragwortferry.utils.pacing import TokenBucket
--- a/ragwortferry/mesh/tests/test_calls.py
+++ b/ragwortferry/mesh/tests/test_calls.py
@@ -10,7 +10,7 @@
     call_objective,
 )
 from ragwortferry.mesh.admission.queue import AdmissionQueue, Job
-from ragwortferry.mesh.admission.returns import Standing
+from ragwortferry.mesh.admission.retry_after import Standing
 
 CALL_S, CALL_OBJECTIVE_S, CALL_DEADLINE_S = 0.031, 0.128, 0.426
 OWN_S, OWN_OBJECTIVE_S, OWN_DEADLINE_S = 0.087, 0.319, 1.276
--- a/ragwortferry/mesh/tests/test_returns.py
+++ b/ragwortferry/mesh/tests/test_retry_after.py
@@ -8,11 +8,11 @@
 import pytest
 
 from ragwortferry.mesh.admission.queue import AdmissionQueue, Job
-from ragwortferry.mesh.admission.returns import (
-    MAX_PROMISES,
+from ragwortferry.mesh.admission.retry_after import (
+    MAX_SCHEDULED,
     MAX_WAIT_S,
     CallerKey,
-    ReturnBook,
+    RetryScheduler,
     Standing,
 )
 
@@ -29,7 +29,7 @@
 
     def __init__(self, impatient: float, seed: int):
         self.rng = random.Random(seed)
-        self.book = ReturnBook(random.Random(seed + 1))
+        self.scheduler = RetryScheduler(random.Random(seed + 1))
         self.queue = AdmissionQueue(SLOTS, self._refuse)
         self.impatient = impatient
         self.now, self._events, self._sequence = 0.0, [], itertools.count()
@@ -59,7 +59,7 @@
         self.at(self.now + 0.02, self._tick)
 
     def _arrive(self, caller, kind, began, tries):
-        standing = self.book.standing(caller, self.now)
+        standing = self.scheduler.standing(caller, self.now)
         payload = (caller, kind, began, tries, self.now)
         objective, deadline = began + OBJECTIVE_S, began + DEADLINE_S
         job = Job("r", 2, objective, deadline, payload, standing=standing)
@@ -72,7 +72,7 @@
         caller, kind, began, tries, arrived = job.payload
         self.refused_after.append(self.now - arrived)
         wait_s = refusal.retry_after_s
-        wait_s = self.book.promise(caller, "desk", wait_s, self.now, loaded=True)
+        wait_s = self.scheduler.schedule(caller, "desk", wait_s, self.now, loaded=True)
         if not tries:
             self.ended[kind]["refused"] += 1
             return
@@ -89,7 +89,7 @@
         _, kind, began, *_ = job.payload
         late = self.now - began > OBJECTIVE_S
         self.ended[kind]["late" if late else "served"] += 1
-        self.book.record_served("desk", self.now)
+        self.scheduler.record_served("desk", self.now)
         self._start()
 
     def served(self, kind: str) -> float:
@@ -125,11 +125,11 @@
 
 
 def test_refused_callers_are_told_times_in_the_order_in_which_they_came():
-    book = ReturnBook(random.Random(3))
+    scheduler = RetryScheduler(random.Random(3))
     for number in range(50):
-        book.record_served("desk", 0.02 * number)
+        scheduler.record_served("desk", 0.02 * number)
     times = [
-        book.promise(CallerKey(n, 11.0), "desk", 0.1, 1.0 + n / 1000, True)
+        scheduler.schedule(CallerKey(n, 11.0), "desk", 0.1, 1.0 + n / 1000, True)
         for n in range(30)
     ]
     returns = [1.0 + n / 1000 + wait for n, wait in enumerate(times)]
@@ -138,36 +138,36 @@
     assert all(wait <= MAX_WAIT_S for wait in times)
 
 
-def test_promise_never_exceeds_what_the_caller_honours():
+def test_retry_after_never_exceeds_what_the_caller_honours():
     """Guards against a Retry-After that a caller ignores, and comes at once."""
-    book = ReturnBook(random.Random(4))
+    scheduler = RetryScheduler(random.Random(4))
     for number in range(200):
-        wait_s = book.promise(CallerKey(number, 1.0), "desk", 5.0, 0.0, True)
+        wait_s = scheduler.schedule(CallerKey(number, 1.0), "desk", 5.0, 0.0, True)
         assert wait_s <= 1.0 / 3
 
 
 def test_caller_that_comes_too_early_keeps_its_place():
-    book, caller = ReturnBook(random.Random(5)), CallerKey(1, 3.0)
-    wait_s = book.promise(caller, "desk", 0.5, 0.0, True)
-    again_s = book.promise(caller, "desk", 0.5, 0.1, True)
+    scheduler, caller = RetryScheduler(random.Random(5)), CallerKey(1, 3.0)
+    wait_s = scheduler.schedule(caller, "desk", 0.5, 0.0, True)
+    again_s = scheduler.schedule(caller, "desk", 0.5, 0.1, True)
     assert again_s == pytest.approx(wait_s - 0.1)
 
 
 def test_refusal_for_another_reason_than_load_punishes_no_early_return():
-    book, caller = ReturnBook(random.Random(6)), CallerKey(1, 3.0)
-    book.promise(caller, "desk", 0.5, 0.0, loaded=False)
-    assert book.standing(caller, 0.01) is Standing.NEW
+    scheduler, caller = RetryScheduler(random.Random(6)), CallerKey(1, 3.0)
+    scheduler.schedule(caller, "desk", 0.5, 0.0, loaded=False)
+    assert scheduler.standing(caller, 0.01) is Standing.NEW
 
 
 def test_others_that_send_the_same_request_are_new():
     """Guards against clients of a popular target that count as one caller."""
-    book = ReturnBook(random.Random(7))
-    book.promise(CallerKey(1, 3.0), "desk", 0.5, 0.0, True)
-    assert book.standing(CallerKey(1, 3.2), 0.2) is Standing.NEW
+    scheduler = RetryScheduler(random.Random(7))
+    scheduler.schedule(CallerKey(1, 3.0), "desk", 0.5, 0.0, True)
+    assert scheduler.standing(CallerKey(1, 3.2), 0.2) is Standing.NEW
 
 
-def test_promises_are_bounded():
-    book = ReturnBook(random.Random(8))
-    for number in range(2 * MAX_PROMISES):
-        book.promise(CallerKey(number, 3.0), "desk", 0.1, 0.0, True)
-    assert len(book._promises) == MAX_PROMISES
+def test_scheduled_returns_are_bounded():
+    scheduler = RetryScheduler(random.Random(8))
+    for number in range(2 * MAX_SCHEDULED):
+        scheduler.schedule(CallerKey(number, 3.0), "desk", 0.1, 0.0, True)
+    assert len(scheduler._scheduled) == MAX_SCHEDULED
--- a/ragwortferry/mesh/tests/test_standing.py
+++ b/ragwortferry/mesh/tests/test_standing.py
@@ -20,13 +20,18 @@
             return sent_at, float(headers["Retry-After"])
 
 
-def _standing(mesh, machine, request_id: str) -> str:
-    lines = mesh.events(machine, "request")
-    (line,) = [
+def _lines(mesh, machine, request_id: str) -> list[dict]:
+    return [
         item
-        for item in lines
+        for item in mesh.events(machine, "request")
         if item["hop"] == "entry" and item["request_id"] == request_id
     ]
+
+
+async def _standing(mesh, machine, request_id: str) -> str:
+    # The line is written after the response.
+    await mesh.wait_until(lambda: _lines(mesh, machine, request_id))
+    (line,) = _lines(mesh, machine, request_id)
     return line.get("standing", "new")
 
 
@@ -49,7 +54,7 @@
             await mesh.send(
                 machine, f"/panels/{name}", name, deadline_ms=round(left_ms)
             )
-            return _standing(mesh, machine, name)
+            return await _standing(mesh, machine, name)
 
         assert await come_back("patient", early=False) == "returned"
         assert await come_back("hasty", early=True) == "early"
