--- a/ragwortferry/mesh/tests/test_forecast.py
+++ b/ragwortferry/mesh/tests/test_forecast.py
@@ -101,8 +101,8 @@
         arrived += 1
     in_time = sum(latency <= OBJECTIVE_S for latency in upstream.latencies)
     possible = min(arrived, capacity_per_s * END_S)
-    assert in_time >= 0.8 * possible
-    assert in_time >= 0.85 * len(upstream.latencies)
+    assert in_time >= 0.85 * possible
+    assert in_time >= 0.9 * len(upstream.latencies)
     # An eighth of the latency objective.
     late_refusals = sum(s > OBJECTIVE_S / 8 for s in upstream.refused_after)
     assert late_refusals <= 0.1 * max(1, len(upstream.refused_after))
--- a/ragwortferry/mesh/tests/test_mixed_routes.py
+++ b/ragwortferry/mesh/tests/test_mixed_routes.py
@@ -131,7 +131,7 @@
         assert results["served"] >= 0.97 * results.total()
         waits = sorted(simulation.waits[route.name])
         # A tenth of the latency objective for nine of ten requests.
-        if load < 0.5:
+        if load < 0.8:
             assert waits[int(0.9 * len(waits))] <= 0.1 * route.objective_s
 
 
