--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -651,7 +651,8 @@
         "ragwortferry/mesh/placement/balance.py",
         "service_s = self._speeds.expected(upstream.id, route, now)",
         "service_s = None",
-        f"{MIXED_ROUTES}::test_slots_of_all_upstreams_are_used_before_requests_wait",
+        f"{MIXED_ROUTES}"
+        "::test_slots_of_all_upstreams_are_used_before_requests_wait[0.4-1]",
     ),
     Mechanism(
         "calls go first",
