--- a/ragwortferry/mesh/links/relay.py
+++ b/ragwortferry/mesh/links/relay.py
@@ -74,6 +74,8 @@
         # Called with each link to a new neighbour, or to a node that has no state yet;
         # set by EvidenceExchange.
         self.on_synchronize: Callable[[Link], None] = lambda link: None
+        # Called with each version that a peer has, and its IP address; set by Node.
+        self.on_known_version: Callable[[int, str], None] = lambda version, host: None
         self.neighbours: set[str] = set()
         # Whether the last calls to the store succeeded; set by Reader.
         self.store_available = True
@@ -272,6 +274,7 @@
         """
         link.peer_version = max(link.peer_version, version)
         link.peer_revision = max(link.peer_revision, revision)
+        self.on_known_version(version, link.host)
         state = self._state
         if version <= state.version and revision <= state.revision:
             return
@@ -329,6 +332,7 @@
     def _on_change(self, link: Link, frame: ConfigurationChange) -> None:
         """Apply a difference, or request what is missing before it."""
         link.peer_version = max(link.peer_version, frame.version)
+        self.on_known_version(frame.version, link.host)
         state = self._state
         if frame.version <= state.version:
             return
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -25,6 +25,7 @@
 from ragwortferry.mesh.reader import Reader
 from ragwortferry.mesh.recording import Recorder
 from ragwortferry.mesh.state import MeshState
+from ragwortferry.mesh.version_watch import VersionWatch
 from ragwortferry.platform.config import DocumentDecoder
 from ragwortferry.platform.names import READY_PATH
 from ragwortferry.platform.settings import load_node_settings
@@ -113,6 +114,11 @@
         metrics = kernel.add("metrics", NodeMetrics(settings.name, settings.zone))
         store = StoreClient(settings.store_address, settings.host)
         relay = kernel.add("relay", Relay(state, settings.host, settings.zone))
+        versions = kernel.add(
+            "versions",
+            VersionWatch(state, asyncio.get_running_loop(), log.component("state")),
+        )
+        relay.on_known_version = versions.record
         pacer = kernel.add(
             "outflow", EgressPacer(settings.link_mbps, asyncio.get_running_loop())
         )
@@ -211,6 +217,8 @@
             "requests_by_standing", "standing", lambda: entry.standings
         )
         metrics.add_gauges("links_by_reason", "reason", lambda: peers.count_by_reason)
+        metrics.add_gauge("version_known", lambda: versions.known_version)
+        metrics.add_gauge("version_awaited_s", lambda: versions.awaited_s)
         metrics.add_gauge("links_accepted", lambda: peers.accepted_count)
         metrics.add_gauge("egress_delay_ms", lambda: pacer.queueing_delay_s * 1000)
         owner.count_sharers = lambda: peers.accepted_count + 1
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -2,10 +2,12 @@
 
 __all__ = [
     "ManualLoop",
+    "RecordingLog",
     "a_config",
     "a_config_with_cold_upstreams",
     "a_document",
     "a_large_config",
+    "a_link",
     "a_pacer",
     "a_route",
     "an_attempt",
@@ -22,6 +24,7 @@
 import json
 import random
 import zlib
+from types import SimpleNamespace
 
 from ragwortferry.logs import Log, LogContext
 from ragwortferry.mesh.attempt import Attempt
@@ -43,6 +46,21 @@
     return Log(LogContext("node-1", "a", HybridClock()), "test")
 
 
+class RecordingLog:
+    """Keeps the events that are logged, with their type as ``"type"``."""
+
+    def __init__(self):
+        self.events: list[dict] = []
+
+    def event(self, event_type: str, message: str, **fields) -> None:
+        """Keep an event."""
+        self.events.append({"type": event_type, "message": message, **fields})
+
+    def error(self, message: str, reason: object, **fields) -> None:
+        """Keep an event of type ``error``."""
+        self.event("error", message, reason=str(reason), **fields)
+
+
 def an_upstream(name: str = "i-1", **changes) -> Upstream:
     """Return a registered upstream; the port depends on its name."""
     values = {
@@ -96,6 +114,17 @@
     return Load(**{**values, **changes})
 
 
+class ManualTimer:
+    """A scheduled callback of a manual loop."""
+
+    def __init__(self):
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Prevent the callback."""
+        self.cancelled = True
+
+
 class ManualLoop:
     """An event loop whose clock advances only in :meth:`run_until`."""
 
@@ -110,8 +139,10 @@
 
     def call_at(self, when, callback, *args):
         """Schedule a callback at a time."""
-        heapq.heappush(self._calls, (when, next(self._sequence), callback, args))
-        return self
+        timer = ManualTimer()
+        call = (when, next(self._sequence), timer, callback, args)
+        heapq.heappush(self._calls, call)
+        return timer
 
     def call_later(self, delay, callback, *args):
         """Schedule a callback after a delay."""
@@ -120,9 +151,10 @@
     def run_until(self, end: float) -> None:
         """Advance the clock and run the callbacks that are due."""
         while self._calls and self._calls[0][0] <= end:
-            when, _, callback, args = heapq.heappop(self._calls)
+            when, _, timer, callback, args = heapq.heappop(self._calls)
             self._now = max(self._now, when)
-            callback(*args)
+            if not timer.cancelled:
+                callback(*args)
         self._now = end
 
 
@@ -131,6 +163,23 @@
     return EgressPacer(mbps, ManualLoop())
 
 
+def a_link(host: str, zone: str = "a") -> SimpleNamespace:
+    """Return a link to a peer that keeps the messages sent to it as ``sent``."""
+    sent = []
+    return SimpleNamespace(
+        host=host,
+        zone=zone,
+        dialed=True,
+        subscribed=True,
+        closed=False,
+        peer_version=0,
+        peer_revision=0,
+        sent=sent,
+        send=sent.append,
+        send_in_order=sent.append,
+    )
+
+
 def an_exchange(
     relay: Relay, quarantine: Quarantine, incarnation: str = "incarnation"
 ) -> EvidenceExchange:
