Take whatever a decoder raises for invalid data

Callers saw: one registry entry with an unknown field of 90,000 brackets kept a departure and a new version from being followed, and no node that started beside it became ready.

Cause: the decoders of entries, of the configuration, of store responses, of settings and of messages caught the errors that msgspec documents. Deep nesting raises RecursionError, a version of 5,000 digits ValueError; the task that follows the store failed and started again, each time with a read of the whole registry.

Change: decode_untrusted turns any error of a decoder into the reason why the data is invalid.

--- a/ragwortferry/mesh/links/link.py
+++ b/ragwortferry/mesh/links/link.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import Protocol
 
-import msgspec
-
 from ragwortferry.mesh.links.frames import Frame, Part, decode_frame, encode_frame
 from ragwortferry.utils.egress import PIECE_BYTES, EgressPacer, Stream
 
@@ -128,7 +126,8 @@
     def _handle_frame(self, data: bytes) -> None:
         try:
             frame = decode_frame(data)
-        except msgspec.DecodeError as error:
+        except Exception as error:
+            # Besides DecodeError, for example RecursionError.
             self.close(f"message cannot be decoded: {error}")
             return
         if not isinstance(frame, Part):
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -110,6 +110,18 @@
     asyncio.run(scenario())
 
 
+def test_deeply_nested_message_closes_the_link():
+    async def scenario():
+        handler = RecordingHandler()
+        link = Link(handler, True, a_pacer())
+        # A cancellation with a further element that this build does not know.
+        data = b"\x93\x05\xa1k" + b"\x91" * 20_000 + b"\x01"
+        link.data_received(len(data).to_bytes(LENGTH_PREFIX_BYTES, "big") + data)
+        assert link.closed and not handler.frames
+
+    asyncio.run(scenario())
+
+
 class FakeLink:
     """Records the messages sent to a peer."""
 
--- a/ragwortferry/platform/config.py
+++ b/ragwortferry/platform/config.py
@@ -11,6 +11,7 @@
 from msgspec import Meta, Struct, field
 
 from ragwortferry.mesh.model import Destination, Document, Limits, Route, Service
+from ragwortferry.utils.decoding import decode_untrusted
 
 # Route types whose requests are idempotent.
 IDEMPOTENT_ROUTE_TYPES = ("safe", "download")
@@ -107,11 +108,10 @@
 
         An invalid part makes the whole document invalid.
         """
-        try:
-            config = _DECODER.decode(data)
-            routes = self._decode_routes(config.hosts)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Error(str(error))
+        decoded = decode_untrusted(self._decode, data)
+        if decoded.is_error():
+            return Error(decoded.swap().ok)
+        config, version, routes = decoded.ok
         services = {
             item.name: Service(
                 item.name,
@@ -131,12 +131,18 @@
                     f"rule {route.name!r}: destinations missing or unknown: {unknown}"
                 )
         self._routes = routes
-        version = int(config.version.removeprefix(VERSION_PREFIX))
         digest = xxhash.xxh3_64_hexdigest(data)
         limits = _to_limits(config.limits)
         hosts = _routes_by_host(routes.values())
         return Ok(Document(version, digest, limits, hosts, services))
 
+    def _decode(
+        self, data: bytes
+    ) -> tuple[_Config, int, dict[tuple[str, bytes], Route]]:
+        config = _DECODER.decode(data)
+        version = int(config.version.removeprefix(VERSION_PREFIX))
+        return config, version, self._decode_routes(config.hosts)
+
     def _decode_routes(
         self, listeners: tuple[_Listener, ...]
     ) -> dict[tuple[str, bytes], Route]:
--- a/ragwortferry/platform/registry.py
+++ b/ragwortferry/platform/registry.py
@@ -10,6 +10,7 @@
 
 from ragwortferry.mesh.model import DRAINING, READY, Upstream
 from ragwortferry.platform.names import REGISTRY_PREFIX
+from ragwortferry.utils.decoding import decode_untrusted
 from ragwortferry.utils.sockets import Address
 
 
@@ -54,10 +55,10 @@
     >>> decode_upstream("servers/i-1", b"?", 3).is_error()
     True
     """
-    try:
-        entry = _DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(str(error))
+    decoded = decode_untrusted(_DECODER.decode, value)
+    if decoded.is_error():
+        return Error(decoded.swap().ok)
+    entry = decoded.ok
     host, _, port = entry.address.partition(":")
     if not 0 < int(port) < 65_536 or not upstream_id(key):
         return Error(f"address {entry.address!r} is invalid or the id is empty")
--- a/ragwortferry/platform/settings.py
+++ b/ragwortferry/platform/settings.py
@@ -13,6 +13,7 @@
 
 from ragwortferry.exceptions import SettingsError
 from ragwortferry.platform.names import PEER_PORT_VARIABLE, SETTINGS_VARIABLE
+from ragwortferry.utils.decoding import decode_untrusted
 from ragwortferry.utils.sockets import Address
 
 
@@ -148,16 +149,21 @@
     :raises SettingsError: if the file cannot be read, or a value is missing or invalid.
     """
     try:
-        settings = msgspec.convert(
-            tomllib.loads(path.read_text()), _Settings, strict=False
-        )
-        return _to_node_settings(settings, environ)
+        data = path.read_bytes()
     except OSError as error:
         raise SettingsError(
             f"cannot read settings file {path}: {error.strerror}"
         ) from None
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
-        raise SettingsError(f"settings file {path}: {error}") from None
+    result = decode_untrusted(lambda data: _decode_settings(data, environ), data)
+    if result.is_error():
+        raise SettingsError(f"settings file {path}: {result.swap().ok}")
+    return result.ok
+
+
+def _decode_settings(data: bytes, environ: Mapping[str, str]) -> NodeSettings:
+    content = tomllib.loads(data.decode())
+    settings = msgspec.convert(content, _Settings, strict=False)
+    return _to_node_settings(settings, environ)
 
 
 def _to_node_settings(settings: _Settings, environ: Mapping[str, str]) -> NodeSettings:
--- a/ragwortferry/platform/store.py
+++ b/ragwortferry/platform/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import binascii
 from dataclasses import dataclass
+from functools import partial
 from urllib.parse import urlencode
 
 import msgspec
@@ -17,6 +18,7 @@
 )
 from ragwortferry.http1.collector import ResponseCollector
 from ragwortferry.http1.messages import encode_request
+from ragwortferry.utils.decoding import decode_untrusted
 from ragwortferry.utils.sockets import Address
 
 # Timeout until the response starts. The store responds within milliseconds, but may be
@@ -208,12 +210,13 @@
         return response.status, response.body
 
     def _decode(self, body: bytes, response_type: type):
-        try:
-            return msgspec.json.decode(body, type=response_type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise StoreUnavailableError(
-                f"store sent an invalid response: {error}"
-            ) from None
+        result = decode_untrusted(
+            partial(msgspec.json.decode, type=response_type), body
+        )
+        if result.is_error():
+            reason = result.swap().ok
+            raise StoreUnavailableError(f"store sent an invalid response: {reason}")
+        return result.ok
 
 
 def _decode_item(item: _WireItem) -> Item:
--- a/ragwortferry/platform/tests/test_decoders.py
+++ b/ragwortferry/platform/tests/test_decoders.py
@@ -13,6 +13,7 @@
 from ragwortferry.platform.registry import decode_upstream
 from ragwortferry.platform.settings import load_node_settings, settings_path
 from ragwortferry.tests.mesh_builders import a_config, a_registry_entry, a_route
+from ragwortferry.tests.odd_entries import ODD_ENTRIES, nested_json
 
 SETTINGS = """
 node = "sidecar-a-1"
@@ -84,6 +85,15 @@
     assert decode_document(data[:-3]).is_error()
 
 
+def test_deeply_nested_configuration_is_rejected():
+    data = _encode(a_config(other="?")).replace(b'"?"', nested_json(20_000).encode())
+    assert decode_document(data).is_error()
+
+
+def test_version_of_too_many_digits_is_rejected():
+    assert decode_document(_encode(a_config("r" + "9" * 5_000))).is_error()
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_are_rejected_as_configuration(data):
     assert decode_document(data).is_error()
@@ -113,6 +123,11 @@
     assert decode_upstream("servers/i-1", a_registry_entry(**change), 9).is_error()
 
 
+@pytest.mark.parametrize("data", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_odd_registry_entry_is_rejected(data):
+    assert decode_upstream("servers/i-1", data, 9).is_error()
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_are_rejected_as_registry_entry(data):
     assert decode_upstream("servers/i-1", data, 1).is_error()
@@ -137,6 +152,13 @@
         load_node_settings(path)
 
 
+def test_deeply_nested_settings_raise_error_naming_the_file(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(f"other = {nested_json(20_000)}\n{SETTINGS}")
+    with pytest.raises(SettingsError, match="boot.toml"):
+        load_node_settings(path)
+
+
 def test_missing_settings_variable_raises_error_naming_it():
     with pytest.raises(SettingsError, match="RAGWORTFERRY_SETTINGS"):
         settings_path({})
--- /dev/null
+++ b/ragwortferry/tests/odd_entries.py
@@ -0,0 +1,41 @@
+"""Builders of odd registry entries, as another writer of the store leaves them."""
+
+__all__ = ["ODD_ENTRIES", "nested_json", "with_field"]
+
+import json
+
+from ragwortferry.tests.mesh_builders import a_registry_entry
+
+# Stands for the raw text of a field while the rest of an entry is encoded.
+PLACEHOLDER = "@raw@"
+
+
+def nested_json(depth: int) -> str:
+    """Return brackets that are nested ``depth`` times."""
+    return "[" * depth + "]" * depth
+
+
+def with_field(path: str, raw: str, data: bytes = b"") -> bytes:
+    """Return an entry in which a field has another content.
+
+    :param path: names of the field and of the objects around it, joined by dots.
+    :param raw: JSON text of the content.
+    :param data: encoded entry, by default a sound one.
+    """
+    entry = json.loads(data or a_registry_entry())
+    *outer, name = path.split(".")
+    target = entry
+    for part in outer:
+        target = target[part]
+    target[name] = PLACEHOLDER
+    return json.dumps(entry).replace(json.dumps(PLACEHOLDER), raw).encode()
+
+
+# Entries that name no upstream to use, by what is odd about them.
+ODD_ENTRIES: dict[str, bytes] = {
+    "no JSON": b"\x00\xff?",
+    "deeply nested": with_field("other", nested_json(90_000)),
+    "deeply nested info": with_field(
+        "info.other", '{"a":' * 30_000 + "1" + "}" * 30_000
+    ),
+}
