Bound the numbers of registry entries

Callers saw: an entry whose start has thirty digits was taken for valid and could not be encoded for the other nodes (OverflowError); the task that follows the registry failed, and departures after it reached no other node. A cold time of 1e300 kept its upstream cold for good.

Cause: the models of an entry had types, but no ranges.

An entry outside of it is invalid, like one of another type. A fuzz test carries what the decoder accepts through the encoder of messages, the state, log lines and timers.

--- a/ragwortferry/platform/registry.py
+++ b/ragwortferry/platform/registry.py
@@ -13,6 +13,12 @@
 from ragwortferry.utils.decoding import decode_untrusted
 from ragwortferry.utils.sockets import Address
 
+# Largest integer that JSON writers in other languages represent exactly.
+MAX_INTEGER = 2**53 - 1
+MAX_COLD_S = 86_400.0
+
+Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+
 
 class _UpstreamInfo(Struct):
     service: Annotated[str, Meta(min_length=1)]
@@ -25,8 +31,8 @@
 class _UpstreamStatus(Struct):
     state: Literal["ready", "draining"]
     # Number of the report, counted from each start of the upstream.
-    seq: int
-    cold_remaining_s: float = 0.0
+    seq: Count
+    cold_remaining_s: Annotated[float, Meta(le=MAX_COLD_S)] = 0.0
 
 
 class _Entry(Struct):
@@ -34,7 +40,7 @@
     info: _UpstreamInfo
     status: _UpstreamStatus
     # When the upstream started, in milliseconds since the epoch.
-    born: int = 0
+    born: Count = 0
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
--- /dev/null
+++ b/ragwortferry/platform/tests/test_accepted_entries.py
@@ -0,0 +1,88 @@
+"""Whatever the decoder of registry entries accepts can be used and passed on."""
+
+import asyncio
+import json
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from ragwortferry.mesh.admission.warmup import WarmUp
+from ragwortferry.mesh.links.frames import Registry, decode_frame, encode_frame
+from ragwortferry.mesh.model import Service
+from ragwortferry.mesh.state import MeshState, RegistryChange
+from ragwortferry.platform.config import decode_document
+from ragwortferry.platform.registry import decode_upstream
+from ragwortferry.tests.mesh_builders import RecordingLog
+
+NUMBERS = st.one_of(
+    st.integers(-(10**30), 10**30),
+    st.sampled_from([2**31, 2**53, 2**63, 2**64, -(2**63) - 1, 10**4_000]),
+    st.floats(allow_nan=False, allow_infinity=False),
+)
+OTHER = st.one_of(st.none(), st.booleans(), st.text(max_size=20), st.just([[]]))
+ADDRESSES = st.one_of(
+    st.from_regex(r"[0-9.]{1,16}:[0-9]{1,6}\s?", fullmatch=True),
+    st.ip_addresses(v=4).map(lambda host: f"{host}:8147"),
+    st.text(max_size=20),
+)
+
+
+def _usually(sound, odd=OTHER):
+    return st.one_of(st.just(sound), odd)
+
+
+ENTRIES = st.fixed_dictionaries(
+    {
+        "address": _usually("10.1.0.35:8147", ADDRESSES),
+        "info": st.fixed_dictionaries(
+            {
+                "service": _usually("tablero", st.text(max_size=20)),
+                "zone": _usually("a", st.text(max_size=20)),
+                "slots": _usually(18, NUMBERS | OTHER),
+            }
+        ),
+        "status": st.fixed_dictionaries(
+            {
+                "state": st.sampled_from(["ready", "draining", "tired"]),
+                "seq": _usually(4, NUMBERS | OTHER),
+                "cold_remaining_s": _usually(1.5, NUMBERS | OTHER),
+            }
+        ),
+        "born": _usually(1_700_000_000_000, NUMBERS | OTHER),
+    }
+)
+NAMES = st.one_of(st.just("i-1"), st.text(max_size=20))
+
+
+def _entry(**changes) -> dict:
+    info = {"service": "tablero", "zone": "a", "slots": 18}
+    status = {"state": "ready", "seq": 4, "cold_remaining_s": 1.5}
+    address = "10.1.0.35:8147"
+    return {"address": address, "info": info, "status": status, "born": 1, **changes}
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(NAMES, ENTRIES)
+@example("i-1", _entry(born=10**30))
+@example("i-1", _entry(status={"state": "ready", "seq": 1, "cold_remaining_s": 1e300}))
+def test_accepted_entry_passes_encoder_state_log_and_timers(name, entry):
+    result = decode_upstream(f"servers/{name}", json.dumps(entry).encode(), 3)
+    if result.is_error():
+        return
+    upstream = result.ok
+    frame = Registry(0, 3, [upstream], [])
+    assert decode_frame(encode_frame(frame)) == frame
+    log = RecordingLog()
+    state = MeshState(decode_document, log)
+    state.apply_registry(RegistryChange(0, 3, [upstream]), "store")
+    assert json.loads(json.dumps(log.events)) == log.events
+
+    async def wait_while_cold():
+        loop = asyncio.get_running_loop()
+        warmup = WarmUp()
+        warmup.set_service(Service("tablero", "/health", 100, 1e9, 1.0))
+        warmup.record_entry(upstream, loop.time())
+        assert warmup.remaining(loop.time()) < 2 * 86_400
+        loop.call_at(warmup.ends_at, lambda: None).cancel()
+
+    asyncio.run(wait_while_cold())
--- a/ragwortferry/tests/odd_entries.py
+++ b/ragwortferry/tests/odd_entries.py
@@ -38,4 +38,10 @@
     "deeply nested info": with_field(
         "info.other", '{"a":' * 30_000 + "1" + "}" * 30_000
     ),
+    "start of thirty digits": with_field("born", "9" * 30),
+    "negative start": with_field("born", "-1"),
+    "report of thirty digits": with_field("status.seq", "9" * 30),
+    "cold time of 1e300": with_field("status.cold_remaining_s", "1e300"),
+    "cold time out of range": with_field("status.cold_remaining_s", "1e999"),
+    "slots of 5,000 digits": with_field("info.slots", "9" * 5_000),
 }
