Reject registry entries whose address or id cannot be used

Cause: the address was checked by a pattern that admits 999.999.999.999 and a line break after the port, and the id was not checked at all.

Change: the host is parsed as an IPv4 address that a server can have, the id consists of visible ASCII.

--- a/ragwortferry/platform/registry.py
+++ b/ragwortferry/platform/registry.py
@@ -2,6 +2,8 @@
 
 __all__ = ["decode_upstream", "upstream_id"]
 
+import re
+from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Literal
 
 import msgspec
@@ -16,6 +18,9 @@
 # Largest integer that JSON writers in other languages represent exactly.
 MAX_INTEGER = 2**53 - 1
 MAX_COLD_S = 86_400.0
+# The id of an upstream is sent in a header of each request to it.
+ID_PATTERN = re.compile(r"[!-~]+")
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 
@@ -36,7 +41,7 @@
 
 
 class _Entry(Struct):
-    address: Annotated[str, Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")]
+    address: str
     info: _UpstreamInfo
     status: _UpstreamStatus
     # When the upstream started, in milliseconds since the epoch.
@@ -65,16 +70,18 @@
     if decoded.is_error():
         return Error(decoded.swap().ok)
     entry = decoded.ok
-    host, _, port = entry.address.partition(":")
-    if not 0 < int(port) < 65_536 or not upstream_id(key):
-        return Error(f"address {entry.address!r} is invalid or the id is empty")
+    address = _parse_address(entry.address)
+    if address is None:
+        return Error(f"address {entry.address!r} names no host that can be reached")
+    if not ID_PATTERN.fullmatch(upstream_id(key)):
+        return Error(f"id {upstream_id(key)!r} has other characters than visible ASCII")
     if entry.status.state not in (READY, DRAINING):
         return Error(f"state {entry.status.state!r} is unknown")
     return Ok(
         Upstream(
             id=upstream_id(key),
             service=entry.info.service,
-            address=Address(host, int(port)),
+            address=address,
             zone=entry.info.zone,
             slots=entry.info.slots,
             draining=entry.status.state == DRAINING,
@@ -84,3 +91,17 @@
             revision=revision,
         )
     )
+
+
+def _parse_address(text: str) -> Address | None:
+    """Return the address ``HOST:PORT`` of an upstream, ``None`` if it is invalid."""
+    host, _, port = text.partition(":")
+    try:
+        ip = IPv4Address(host)
+    except AddressValueError:
+        return None
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        return None
+    if not PORT_PATTERN.fullmatch(port) or not 0 < int(port) < 65_536:
+        return None
+    return Address(host, int(port))
--- a/ragwortferry/platform/tests/test_accepted_entries.py
+++ b/ragwortferry/platform/tests/test_accepted_entries.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import json
+import socket
 
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from ragwortferry.http1.messages import encode_request
 from ragwortferry.mesh.admission.warmup import WarmUp
 from ragwortferry.mesh.links.frames import Registry, decode_frame, encode_frame
 from ragwortferry.mesh.model import Service
 from ragwortferry.mesh.state import MeshState, RegistryChange
 from ragwortferry.platform.config import decode_document
+from ragwortferry.platform.names import TARGET_HEADER
 from ragwortferry.platform.registry import decode_upstream
 from ragwortferry.tests.mesh_builders import RecordingLog
 
@@ -70,6 +73,9 @@
     if result.is_error():
         return
     upstream = result.ok
+    request = encode_request("GET", "/", [(TARGET_HEADER, upstream.id)], b"")
+    assert request.split(b"\r\n")[1:-2] == [f"{TARGET_HEADER}: {upstream.id}".encode()]
+    socket.inet_aton(upstream.address.host)
     frame = Registry(0, 3, [upstream], [])
     assert decode_frame(encode_frame(frame)) == frame
     log = RecordingLog()
--- a/ragwortferry/platform/tests/test_decoders.py
+++ b/ragwortferry/platform/tests/test_decoders.py
@@ -128,6 +128,11 @@
     assert decode_upstream("servers/i-1", data, 9).is_error()
 
 
+@pytest.mark.parametrize("name", ["", "i 1", "i-1\r\nX-Other: 1", "i-\u00e9", "\n"])
+def test_entry_whose_id_cannot_be_a_header_value_is_rejected(name):
+    assert decode_upstream(f"servers/{name}", a_registry_entry(), 9).is_error()
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_are_rejected_as_registry_entry(data):
     assert decode_upstream("servers/i-1", data, 1).is_error()
--- a/ragwortferry/tests/odd_entries.py
+++ b/ragwortferry/tests/odd_entries.py
@@ -43,5 +43,12 @@
     "report of thirty digits": with_field("status.seq", "9" * 30),
     "cold time of 1e300": with_field("status.cold_remaining_s", "1e300"),
     "cold time out of range": with_field("status.cold_remaining_s", "1e999"),
+    "port zero": with_field("address", '"10.1.0.35:0"'),
+    "port out of range": with_field("address", '"10.1.0.35:70000"'),
+    "line break after the port": with_field("address", '"10.1.0.35:8147\\n"'),
+    "host that is no address": with_field("address", '"999.999.999.999:8147"'),
+    "unspecified host": with_field("address", '"0.0.0.0:8147"'),
+    "multicast host": with_field("address", '"224.0.0.1:8147"'),
+    "broadcast host": with_field("address", '"255.255.255.255:8147"'),
     "slots of 5,000 digits": with_field("info.slots", "9" * 5_000),
 }
