Bound the names in registry entries

Cause: service and zone had a least length and no greatest one.

Change: 256 characters at most.

Result: 2 cases of test_decoders.py failed before; they pass.

--- a/ragwortferry/platform/registry.py
+++ b/ragwortferry/platform/registry.py
@@ -21,13 +21,15 @@
 # The id of an upstream is sent in a header of each request to it.
 ID_PATTERN = re.compile(r"[!-~]+")
 PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+MAX_NAME_CHARS = 256
 
 Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 
 
 class _UpstreamInfo(Struct):
-    service: Annotated[str, Meta(min_length=1)]
-    zone: Annotated[str, Meta(min_length=1)]
+    service: Name
+    zone: Name
     slots: Annotated[int, Meta(ge=1, le=100_000)]
     # Version of the upstream's software, not of the configuration.
     version: str = ""
--- a/ragwortferry/tests/odd_entries.py
+++ b/ragwortferry/tests/odd_entries.py
@@ -43,6 +43,8 @@
     "report of thirty digits": with_field("status.seq", "9" * 30),
     "cold time of 1e300": with_field("status.cold_remaining_s", "1e300"),
     "cold time out of range": with_field("status.cold_remaining_s", "1e999"),
+    "service of half a megabyte": with_field("info.service", f'"{"s" * 500_000}"'),
+    "zone of half a megabyte": with_field("info.zone", f'"{"z" * 500_000}"'),
     "port zero": with_field("address", '"10.1.0.35:0"'),
     "port out of range": with_field("address", '"10.1.0.35:70000"'),
     "line break after the port": with_field("address", '"10.1.0.35:8147\\n"'),
