Stop using an upstream whose registry entry becomes invalid

Cause: invalid entries were dropped from the changes of a watch, so the former content stayed; after a listing they counted as missing and could be held for the time in which leases are renewed.

Change: an invalid entry removes what it named before, at its revision, on both paths. The next valid entry of that id brings it back.

--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -233,15 +233,15 @@
 
     def _apply_snapshot(self, items: list[Item], revision: int) -> None:
         """Replace the registry by a full listing, apart from held removals."""
-        decoded = self._decode_items(items)
-        listed = {item.id for item in decoded}
+        decoded, invalid = self._decode_items(items)
+        listed = {item.id for item in decoded} | invalid.keys()
         missing = {
             name: revision
             for name, known in self._state.upstreams.items()
             if name not in listed and known.revision <= revision
         }
         kept = [self._state.upstreams[name] for name in self._hold_expired(missing)]
-        change = RegistryChange(0, revision, [*decoded, *kept])
+        change = RegistryChange(0, revision, [*decoded, *kept], invalid)
         self._state.apply_registry(change, "store")
 
     def _apply_changes(self, since: int, items: list[Item]) -> None:
@@ -254,9 +254,10 @@
         }
         for name in self._hold_expired(removed):
             del removed[name]
-        decoded = self._decode_items(
+        decoded, invalid = self._decode_items(
             [item for item in newest.values() if not item.removed]
         )
+        removed |= invalid
         for item in decoded:
             self._held_removals.pop(item.id, None)
         revision = max(item.revision for item in items)
@@ -266,14 +267,22 @@
         change = RegistryChange(since, revision, decoded, removed)
         self._state.apply_registry(change, "store")
 
-    def _decode_items(self, items: list[Item]) -> list[Upstream]:
-        """Return the upstreams of all valid entries and log the invalid ones once."""
-        decoded = []
+    def _decode_items(self, items: list[Item]) -> tuple[list[Upstream], dict[str, int]]:
+        """Return the upstreams of all valid entries, and the invalid entries.
+
+        An invalid entry is logged once. It names no upstream, whatever it named before.
+
+        :return: upstreams, and the revision of each invalid entry by its id.
+        """
+        decoded, invalid = [], {}
         for item in items:
             result = decode_upstream(item.key, item.value or b"", item.revision)
             if result.is_ok():
                 decoded.append(result.ok)
-            elif item.key not in self._malformed_keys:
+                continue
+            if upstream_id(item.key) in self._state.upstreams:
+                invalid[upstream_id(item.key)] = item.revision
+            if item.key not in self._malformed_keys:
                 self._malformed_keys.add(item.key)
                 reason = result.swap().ok
                 self._log.event(
@@ -282,7 +291,7 @@
                     key=item.key,
                     reason=reason,
                 )
-        return decoded
+        return decoded, invalid
 
     def _hold_expired(self, removed: dict[str, int]) -> list[str]:
         """Hold back removals that may be due to expired leases, and return their ids.
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -422,6 +422,34 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("listed", [True, False], ids=["listed", "watched"])
+def test_upstream_whose_entry_becomes_invalid_is_not_used_until_it_is_valid(
+    monkeypatch, listed
+):
+    monkeypatch.setattr(reader_module, "WATCH_PAUSE_S", 0.0)
+
+    async def scenario():
+        odd = Item("servers/i-2", 12, b'{"address": 3}')
+        known = [_item(f"i-{n}", n) for n in range(1, 4)]
+        second = [known[0], odd, known[2]] if listed else [odd]
+        store = FakeStore(
+            _page(*known),
+            _page(*second, revision=12),
+            _page(_item("i-2", 13), revision=13),
+        )
+        state, _, reader = _reader(store)
+        await reader._read_registry(0)
+        # Entries that are missing after an outage are kept; this one is not missing.
+        reader._record_failure("registry", StoreUnavailableError("busy"))
+        reader._record_success("registry")
+        await reader._read_registry(0 if listed else 10)
+        assert set(state.upstreams) == {"i-1", "i-3"}
+        await reader._read_registry(12)
+        assert set(state.upstreams) == {"i-1", "i-2", "i-3"}
+
+    asyncio.run(scenario())
+
+
 def test_single_removal_applies_at_once_while_the_store_is_available():
     async def scenario():
         known = [_item(f"i-{n}", n) for n in range(1, 8)]
