Log a registry entry that becomes invalid again

An operator saw one line for an entry whatever happened to it later, and the keys of invalid entries were kept for good.

Change: a valid entry or a removal ends what is remembered of the key.

--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -247,11 +247,9 @@
     def _apply_changes(self, since: int, items: list[Item]) -> None:
         """Apply the newest change of each key, apart from held removals."""
         newest = {item.key: item for item in items}
-        removed = {
-            upstream_id(item.key): item.revision
-            for item in newest.values()
-            if item.removed
-        }
+        gone = [item for item in newest.values() if item.removed]
+        removed = {upstream_id(item.key): item.revision for item in gone}
+        self._malformed_keys.difference_update(item.key for item in gone)
         for name in self._hold_expired(removed):
             del removed[name]
         decoded, invalid = self._decode_items(
@@ -279,6 +277,7 @@
             result = decode_upstream(item.key, item.value or b"", item.revision)
             if result.is_ok():
                 decoded.append(result.ok)
+                self._malformed_keys.discard(item.key)
                 continue
             if upstream_id(item.key) in self._state.upstreams:
                 invalid[upstream_id(item.key)] = item.revision
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -47,6 +47,7 @@
     StoreUnavailableError,
 )
 from ragwortferry.tests.mesh_builders import (
+    RecordingLog,
     a_config,
     a_load,
     a_pacer,
@@ -323,7 +324,7 @@
         return result
 
 
-def _reader(store):
+def _reader(store, log=None):
     state, relay = _relay()
     kernel = Kernel(null_log())
     peers = type("NoPeers", (), {"links": []})()
@@ -335,7 +336,7 @@
         relay,
         an_evacuation_exchange(state, relay),
         store,
-        null_log(),
+        log or null_log(),
         rng,
     )
     return state, relay, reader
@@ -450,6 +451,23 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("between", ["valid", "removed"])
+def test_entry_that_becomes_invalid_again_is_logged_again(between):
+    async def scenario():
+        log = RecordingLog()
+        _, _, reader = _reader(None, log)
+        reader._apply_changes(1, [Item("servers/i-1", 2, b"?")])
+        reader._apply_changes(2, [Item("servers/i-1", 3, b"??")])
+        assert [line["type"] for line in log.events] == ["entry-unusable"]
+        valid = _item("i-1", 4)
+        removed = Item("servers/i-1", 4, None, removed=True)
+        reader._apply_changes(3, [valid if between == "valid" else removed])
+        reader._apply_changes(4, [Item("servers/i-1", 5, b"?")])
+        assert [line["type"] for line in log.events] == ["entry-unusable"] * 2
+
+    asyncio.run(scenario())
+
+
 def test_single_removal_applies_at_once_while_the_store_is_available():
     async def scenario():
         known = [_item(f"i-{n}", n) for n in range(1, 8)]
