--- a/ragwortferry/platform/config.py
+++ b/ragwortferry/platform/config.py
@@ -16,6 +16,13 @@
 # Route types whose requests are idempotent.
 IDEMPOTENT_ROUTE_TYPES = ("safe", "download")
 VERSION_PREFIX = "r"
+# Messages between nodes carry integers of 64 bits.
+MAX_VERSION_DIGITS = 18
+# Longer times have the effect of this one: a day.
+MAX_DURATION_S = 86_400.0
+# A priority beyond it has the effect of this one.
+MAX_PRIORITY = 2**31 - 1
+VERSION_PATTERN = rf"^{VERSION_PREFIX}[0-9]{{1,{MAX_VERSION_DIGITS}}}\Z"
 
 PositiveFloat = Annotated[float, Meta(gt=0)]
 PositiveInt = Annotated[int, Meta(ge=1)]
@@ -28,7 +35,7 @@
 
 
 class _Match(Struct):
-    prefix: Annotated[str, Meta(pattern=r"^/(.*/)?$")]
+    prefix: Annotated[str, Meta(pattern=r"^/(.*/)?\Z")]
 
 
 class _Action(Struct):
@@ -83,7 +90,7 @@
 
 
 class _Config(Struct):
-    version: Annotated[str, Meta(pattern=rf"^{VERSION_PREFIX}[0-9]+$")]
+    version: Annotated[str, Meta(pattern=VERSION_PATTERN)]
     limits: _Limits
     hosts: tuple[_Listener, ...] = field(name="listeners")
     services: tuple[_Cluster, ...] = field(name="clusters")
@@ -201,8 +208,8 @@
         prefix=rule.match.prefix,
         destinations=tuple(Destination(part.service, part.weight) for part in parts),
         idempotent=rule.route_type in IDEMPOTENT_ROUTE_TYPES,
-        timeout_s=action.timeout_s,
-        objective_s=rule.target_latency_s,
+        timeout_s=min(action.timeout_s, MAX_DURATION_S),
+        objective_s=min(rule.target_latency_s, MAX_DURATION_S),
         max_attempts=action.max_attempts,
-        priority=rule.priority,
+        priority=max(-MAX_PRIORITY, min(MAX_PRIORITY, rule.priority)),
     )
