Bound the revisions in responses of the store

Cause: revisions were integers without a range.

Change: a response with a revision below 0 or above 2**63 - 1 is invalid, and the read counts as failed.

Result: 3 of 8 new cases of test_store.py failed before; all pass.

--- a/ragwortferry/platform/store.py
+++ b/ragwortferry/platform/store.py
@@ -6,6 +6,7 @@
 import binascii
 from dataclasses import dataclass
 from functools import partial
+from typing import Annotated
 from urllib.parse import urlencode
 
 import msgspec
@@ -34,6 +35,8 @@
 # A call opens a new connection if the pooled ones were idle for longer.
 MAX_IDLE_S = 3.0
 OK, NOT_FOUND, GONE = 200, 404, 410
+# Messages between nodes carry integers of 64 bits.
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class StoreUnavailableError(SourceError):
@@ -78,26 +81,26 @@
 class _WireItem(msgspec.Struct):
     key: str
     # Revision of the last change of the item, not of the store.
-    rev: int
+    rev: Revision
     value: str | None = None
     removed: bool = False
 
 
 class _RangeResponse(msgspec.Struct):
     items: list[_WireItem]
-    store_revision: int
+    store_revision: Revision
     has_more: bool = False
 
 
 class _WatchResponse(msgspec.Struct):
     events: list[_WireItem]
-    store_revision: int
+    store_revision: Revision
 
 
 class _KeyResponse(msgspec.Struct):
     key: str
-    rev: int
-    store_revision: int
+    rev: Revision
+    store_revision: Revision
     value: str | None = None
 
 
--- a/ragwortferry/platform/tests/test_store.py
+++ b/ragwortferry/platform/tests/test_store.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ragwortferry.platform.store import StoreClient, StoreUnavailableError
+from ragwortferry.tests.odd_entries import nested_json
 from ragwortferry.utils.sockets import Address
 
 CHUNKS, CHUNK_INTERVAL_S = 8, 0.3
@@ -66,3 +67,38 @@
         assert loop.time() - started_at < 2.0
 
     asyncio.run(scenario())
+
+
+class AnsweringStore:
+    """Responds to each call with the same body."""
+
+    def __init__(self, body: bytes):
+        self._body = body
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self._body)}\r\n\r\n"
+        writer.write(head.encode() + self._body)
+
+
+def _response(rev: str = "9", store_revision: str = "9", key: str = "a") -> str:
+    return f'{{"key": "{key}", "rev": {rev}, "store_revision": {store_revision}}}'
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "?",
+        _response(rev="-1"),
+        _response(rev="9" * 30),
+        _response(rev="9" * 5_000),
+        _response(store_revision="9" * 30),
+        _response(store_revision="1e400"),
+        _response(key="\\ud800"),
+        f'{{"other": {nested_json(20_000)}}}',
+    ],
+    ids=lambda body: body[:60],
+)
+def test_invalid_response_of_the_store_is_reported_as_unavailable(body):
+    with pytest.raises(StoreUnavailableError, match="invalid response"):
+        asyncio.run(_read(AnsweringStore(body.encode())))
