Ignore a Keep-Alive time that is no number of seconds

Callers saw, by the code and a test: the response to a request that had run was lost, and an unsafe request ended with 502, if its Keep-Alive time was a superscript digit or had some hundred digits.

Cause: str.isdigit accepts what int does not, and int more than a float can hold; the error in the parser's callback made the response invalid.

Change: only up to nine ASCII digits count.

--- a/ragwortferry/http1/client.py
+++ b/ragwortferry/http1/client.py
@@ -14,6 +14,7 @@
 ]
 
 import asyncio
+import re
 import weakref
 from dataclasses import dataclass
 from typing import Protocol
@@ -32,6 +33,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # Time for which a new connection must stay open to show that the server accepts it.
 PROBE_S = 0.03
+# Valid value of the Keep-Alive timeout.
+SECONDS = re.compile(r"[0-9]{1,9}")
 # Maximum number of bytes between two parts of a body or before the first: heads,
 # trailers and the framing of chunks.
 MAX_HEAD_BYTES = 65_536
@@ -257,7 +260,7 @@
     def _read_keep_alive(self) -> None:
         for part in get_header(self._headers, "keep-alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
+            if name.lower() == "timeout" and SECONDS.fullmatch(value):
                 self._idle_timeout_s = max(0.0, int(value) - IDLE_MARGIN_S)
         if get_header(self._headers, "connection").lower() == "close":
             self.reusable = False
--- a/ragwortferry/http1/tests/test_client.py
+++ b/ragwortferry/http1/tests/test_client.py
@@ -75,6 +75,21 @@
     connection.send(encode_request("GET", "/", [("Host", "a")], b""), sink)
 
 
+@pytest.mark.parametrize("value", ["\u00b2", "9" * 5_000, "9" * 400, "-1", "", "x"])
+def test_odd_keep_alive_time_does_not_spoil_the_response(value):
+    async def scenario(address):
+        connection = await open_connection(address)
+        sink = CollectingSink("1")
+        _send(connection, sink)
+        await sink.done
+        assert sink.body == b"whole"
+        assert connection.usable and not connection.expired
+
+    header = f"Keep-Alive: timeout={value}"
+    data = _response("1", b"whole", header)
+    _run(scenario, ["request", data.replace(header.encode(), header.encode("latin-1"))])
+
+
 def test_late_response_to_earlier_request_is_discarded():
     async def scenario(address):
         connection = await open_connection(address)
