Fail a response that switches protocols like any other invalid one

Callers saw nothing: the request ended as lost either way. The exception left data_received, and the event loop reported a fatal error of the protocol.

Cause: the parser raises HttpParserUpgrade, which is no HttpParserError.

Change: the connection catches both.

Result: 1 case of test_client.py failed before; it passes, with 4 cases of other informational responses, which passed before too.

--- a/ragwortferry/http1/client.py
+++ b/ragwortferry/http1/client.py
@@ -180,7 +180,7 @@
         self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"invalid response: {error}")
             return
         if self._sink is None:
--- a/ragwortferry/http1/tests/test_client.py
+++ b/ragwortferry/http1/tests/test_client.py
@@ -236,3 +236,32 @@
         assert not caught.value.sent
 
     _run(scenario)
+
+
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_informational_response_before_the_final_one_is_discarded(status):
+    async def scenario(address):
+        connection = await open_connection(address)
+        sink = CollectingSink("1")
+        _send(connection, sink)
+        await sink.done
+        assert (sink.status, sink.body) == (200, b"whole")
+
+    informational = f"HTTP/1.1 {status} Wait\r\nX-Request-Id: 1\r\n\r\n".encode()
+    _run(scenario, ["request", informational + _response("1", b"whole")])
+
+
+def test_switch_of_protocols_that_was_not_requested_breaks_the_connection():
+    async def scenario(address):
+        unhandled = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: unhandled.append(context))
+        connection = await open_connection(address)
+        sink = CollectingSink("1")
+        _send(connection, sink)
+        with pytest.raises(ConnectionBrokenError) as caught:
+            await sink.done
+        assert caught.value.sent and not connection.usable and not unhandled
+
+    head = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n"
+    _run(scenario, ["request", head + b"\r\n" + _response("1", b"whole")])
