Ignore a caller's time-out that is no number

Callers saw: a request with X-Deadline-Ms: nan was refused at once, as if no time were left.

Cause: float accepts nan, and max(0, nan) is 0.

Change: nan counts as no time-out, so the route's holds.

--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections import Counter
 
@@ -727,6 +728,9 @@
     """Return the caller's timeout in seconds, ``default`` if it sends no valid one."""
     text = get_header(request.headers, DEADLINE_HEADER)
     try:
-        return min(MAX_CALLER_TIMEOUT_S, max(0.0, float(text) / 1000))
+        seconds = float(text) / 1000
     except ValueError:
         return default
+    if math.isnan(seconds):
+        return default
+    return min(MAX_CALLER_TIMEOUT_S, max(0.0, seconds))
--- a/ragwortferry/mesh/tests/test_entry.py
+++ b/ragwortferry/mesh/tests/test_entry.py
@@ -10,7 +10,7 @@
 from ragwortferry.http1.messages import Request
 from ragwortferry.mesh.attempt import Failure
 from ragwortferry.mesh.crashes import kind_of
-from ragwortferry.mesh.entry import Entry
+from ragwortferry.mesh.entry import MAX_CALLER_TIMEOUT_S, Entry, _caller_timeout_s
 from ragwortferry.mesh.links.frames import CrashReport, Evidence
 from ragwortferry.mesh.placement.aperture import Aperture
 from ragwortferry.mesh.placement.balance import Balancer
@@ -192,3 +192,22 @@
             assert recorder.ended[-1] == (503, "quarantined", "not-run")
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "text, expected",
+    [
+        ("250", 0.25),
+        ("", 1.5),
+        ("soon", 1.5),
+        ("nan", 1.5),
+        ("-3", 0.0),
+        ("inf", MAX_CALLER_TIMEOUT_S),
+        ("1e400", MAX_CALLER_TIMEOUT_S),
+        ("9" * 5_000, MAX_CALLER_TIMEOUT_S),
+    ],
+)
+def test_odd_timeout_of_a_caller_is_bounded_or_ignored(text, expected):
+    headers = [("X-Deadline-Ms", text)]
+    request = Request("GET", "/", headers, b"", True, 0.0)
+    assert _caller_timeout_s(request, 1.5) == expected
