Play odd entries, repeated refusals and cut heads in the soak

Change: fault odd-entry writes an odd entry beside the others or in place of one; upstreams may also write a refusal once more or cut a head.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -31,6 +31,7 @@
 from benchmarks.figures import Figures, Sample, second_of, write_figures
 from benchmarks.promises import Call, Findings, check_calls, check_versions
 from benchmarks.statements import Episode, check_statements
+from ragwortferry.tests.odd_entries import ODD_ENTRIES
 from ragwortferry.utils.registry import Registry
 from standins.mesh import READY_PORT, Machine, Mesh
 from standins.network import Fault, Network
@@ -558,7 +559,16 @@
 async def _upstream(soak: Soak) -> None:
     upstream = soak.rng.choice(soak.mesh.machines).upstream
     upstream.fault = soak.rng.choice(
-        ["lost", "cut", "shed", "endless-head", "endless-body", ""]
+        [
+            "lost",
+            "cut",
+            "cut-head",
+            "repeat-refusal",
+            "shed",
+            "endless-head",
+            "endless-body",
+            "",
+        ]
     )
     upstream.service_time_s = soak.rng.choice([0.01, 0.3])
 
@@ -592,6 +602,24 @@
     soak.delayed.add(ready)
 
 
+@FAULTS.register("odd-entry")
+async def _odd_entry(soak: Soak) -> None:
+    """Write an odd registry entry beside the others, or in place of one."""
+    store, machine = soak.mesh.store, soak.rng.choice(soak.mesh.machines)
+    data = soak.rng.choice(list(ODD_ENTRIES.values()))
+    replaces = soak.rng.random() < 0.5
+    key = f"servers/{machine.upstream.name}" if replaces else "servers/odd"
+    await store.put(key, data)
+
+    async def recover() -> None:
+        if replaces:
+            await soak.mesh.register(machine)
+        else:
+            await store.delete(key)
+
+    soak.delayed.add(recover)
+
+
 @FAULTS.register("limit")
 async def _limit(soak: Soak) -> None:
     values = soak.rng.choice(LIMITS)
--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -56,6 +56,10 @@
 RETRY_AFTER = "ragwortferry/mesh/tests/test_retry_after.py"
 BACKLOG = "ragwortferry/http1/tests/test_backlog.py"
 MESH_STATE = "ragwortferry/mesh/tests/test_state.py"
+ACCEPTED = "ragwortferry/platform/tests/test_accepted_entries.py"
+EXTREME = "ragwortferry/platform/tests/test_extreme_configurations.py"
+FAULTY = "ragwortferry/mesh/tests/test_faulty_responses.py"
+VERSION_WATCH = "ragwortferry/mesh/tests/test_version_watch.py"
 TEST_TIMEOUT_S = 180
 
 
@@ -683,6 +687,50 @@
         "            pass\n",
         f"{BACKLOG}::test_callers_that_never_read_do_not_grow_the_memory",
     ),
+    Mechanism(
+        "other errors of decoders",
+        "ragwortferry/utils/decoding.py",
+        "except Exception as error:",
+        "except UnicodeDecodeError as error:",
+        f"{DECODERS}::test_odd_registry_entry_is_rejected",
+    ),
+    Mechanism(
+        "bounds of registry entries",
+        "ragwortferry/platform/registry.py",
+        "Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]",
+        "Count = int",
+        f"{ACCEPTED}::test_accepted_entry_passes_encoder_state_log_and_timers",
+    ),
+    Mechanism(
+        "removal by an invalid entry",
+        "ragwortferry/mesh/reader.py",
+        "invalid[upstream_id(item.key)] = item.revision",
+        "pass",
+        f"{LINKS}::test_upstream_whose_entry_becomes_invalid_is_not_used_until_it_is_"
+        "valid",
+    ),
+    Mechanism(
+        "bounds of a configuration",
+        "ragwortferry/platform/config.py",
+        "min(action.timeout_s, MAX_DURATION_S)",
+        "action.timeout_s",
+        f"{EXTREME}::test_extreme_number_is_rejected_or_passes_encoders_and_timers",
+    ),
+    Mechanism(
+        "doubt about refusals without an id",
+        "ragwortferry/mesh/response.py",
+        "return is_first and head.status in NOT_RUN_STATUSES",
+        "return head.status in NOT_RUN_STATUSES",
+        f"{FAULTY}::test_refusal_written_once_more_neither_promises_nor_repeats_"
+        "anything",
+    ),
+    Mechanism(
+        "line about an awaited version",
+        "ragwortferry/mesh/links/relay.py",
+        "self.on_known_version(version, link.host)",
+        "pass",
+        f"{VERSION_WATCH}::test_version_that_is_known_and_not_enforced_is_logged",
+    ),
 ]
 
 
