--- a/ragwortferry/mesh/tests/test_entry.py
+++ b/ragwortferry/mesh/tests/test_entry.py
@@ -21,6 +21,7 @@
 from ragwortferry.tests.mesh_builders import (
     a_document,
     a_pacer,
+    a_route,
     an_upstream,
     null_log,
 )
@@ -147,6 +148,30 @@
     asyncio.run(scenario())
 
 
+class SheddingPeers(FailingPeers):
+    """Reports of each attempt that its upstream has refused it."""
+
+    async def send(self, attempt, reply):
+        self.sent.append(attempt.upstream)
+        failure = Failure(ErrorKind.SHED, Outcome.NOT_RUN, "full", sent=True)
+        reply.on_reply_failed(failure, None)
+
+
+def test_refused_request_is_never_sent_to_the_same_upstream_again():
+    """Guards against a repeated refusal that bears the id of the next attempt."""
+
+    async def scenario():
+        state = _state(*(an_upstream(f"i-{n}") for n in range(4)))
+        state.document = a_document(1, a_route(max_attempts=10))
+        peers = SheddingPeers()
+        entry = _entry(state, peers, FakeRecorder(), lambda: 1)
+        await entry._handle(FakeExchange())
+        assert len(peers.sent) > 1
+        assert len(set(peers.sent)) == len(peers.sent)
+
+    asyncio.run(scenario())
+
+
 class CrashingPeers:
     """Loses each attempt in a crash, of which all nodes know at once."""
 
