Take whatever a decoder raises for invalid data in the proxy too

Operators saw, by a test: a section, a manifest or an instance list with an unknown field nested 20,000 deep raised RecursionError in ragwortferry proxy and in the commands that read documents.

Change: these decoders and that of log lines use decode_untrusted.

The program of the nodes is unchanged.

--- a/ragwortferry/document/models.py
+++ b/ragwortferry/document/models.py
@@ -17,12 +17,14 @@
 ]
 
 import tomllib
+from functools import partial
 from typing import Annotated
 
 import msgspec
 from expression import Error, Ok, Result
 from msgspec import Meta, Struct
 
+from ragwortferry.utils.decoding import decode_untrusted
 from ragwortferry.utils.digests import content_digest
 
 MAX_SECTION_BYTES = 1_000_000
@@ -169,10 +171,10 @@
     if len(data) > MAX_SECTION_BYTES:
         rule = f"{len(data)} bytes, at most {MAX_SECTION_BYTES} are allowed"
         return Error(f"section {name!r}: {rule}")
-    try:
-        tree = tomllib.loads(data.decode())
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        return Error(f"section {name!r}: malformed TOML: {error}")
+    parsed = decode_untrusted(lambda data: tomllib.loads(data.decode()), data)
+    if parsed.is_error():
+        return Error(f"section {name!r}: malformed TOML: {parsed.swap().ok}")
+    tree = parsed.ok
     try:
         return Ok(msgspec.convert(tree, SectionModel))
     except msgspec.ValidationError as error:
@@ -202,21 +204,22 @@
 
 def decode_accepted(data: bytes) -> Result[Manifest | ManifestDelta, str]:
     """Parse and validate accepted.json, which holds a manifest or a delta."""
-    try:
-        is_delta = "digest" in msgspec.json.decode(data)
-        return Ok(
-            msgspec.json.decode(data, type=ManifestDelta if is_delta else Manifest)
-        )
-    except (msgspec.DecodeError, TypeError) as error:
-        return Error(f"manifest: {error}")
+    return decode_untrusted(_decode_accepted, data).map_error(_describe_manifest_error)
+
+
+def _decode_accepted(data: bytes) -> Manifest | ManifestDelta:
+    is_delta = "digest" in msgspec.json.decode(data)
+    return msgspec.json.decode(data, type=ManifestDelta if is_delta else Manifest)
 
 
 def decode_manifest(data: bytes) -> Result[Manifest, str]:
     """Parse and validate the JSON text of a manifest."""
-    try:
-        return Ok(msgspec.json.decode(data, type=Manifest))
-    except msgspec.DecodeError as error:
-        return Error(f"manifest: {error}")
+    decode = partial(msgspec.json.decode, type=Manifest)
+    return decode_untrusted(decode, data).map_error(_describe_manifest_error)
+
+
+def _describe_manifest_error(reason: str) -> str:
+    return f"manifest: {reason}"
 
 
 def encode_manifest(manifest: Manifest) -> bytes:
--- a/ragwortferry/document/tests/test_document.py
+++ b/ragwortferry/document/tests/test_document.py
@@ -14,6 +14,7 @@
 )
 from ragwortferry.document.snapshot import Section, build_snapshot
 from ragwortferry.tests.builders import manifest, section
+from ragwortferry.tests.odd_entries import nested_json
 from ragwortferry.utils.digests import content_digest
 
 
@@ -118,9 +119,22 @@
     assert decode_manifest(encode_manifest(first)).ok == first
 
 
-@pytest.mark.parametrize("text", [b"", b"{}", b'{"version":0}', b"[1]", b'{"version":'])
-def test_malformed_manifest_is_an_error(text):
-    assert decode_manifest(text).error.startswith("manifest: ")
+NESTED = f'{{"other":{nested_json(20_000)}}}'.encode()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b"", b"{}", b'{"version":0}', b"[1]", b'{"version":', NESTED],
+    ids=lambda text: text[:20].decode(),
+)
+@pytest.mark.parametrize("decode", [decode_manifest, decode_accepted])
+def test_malformed_manifest_is_an_error(decode, text):
+    assert decode(text).error.startswith("manifest: ")
+
+
+def test_deeply_nested_section_is_an_error():
+    text = f"other = {nested_json(20_000)}\n".encode()
+    assert decode_section("boards", text).error.startswith("section 'boards': ")
 
 
 def test_delta_applies_to_its_base_only():
--- a/ragwortferry/record/logfiles.py
+++ b/ragwortferry/record/logfiles.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ragwortferry.exceptions import RagwortferryError
+from ragwortferry.utils.decoding import decode_untrusted
 
 PROGRESS_INTERVAL_BYTES = 64 * 2**20
 
@@ -50,9 +51,6 @@
 
 
 def _parse_line(raw: bytes) -> Iterator[LogLine]:
-    try:
-        line = msgspec.json.decode(raw)
-    except msgspec.DecodeError:
-        return
-    if isinstance(line, dict):
-        yield line
+    result = decode_untrusted(msgspec.json.decode, raw)
+    if result.is_ok() and isinstance(result.ok, dict):
+        yield result.ok
--- a/ragwortferry/source/directory.py
+++ b/ragwortferry/source/directory.py
@@ -3,6 +3,7 @@
 __all__ = ["DirectorySource"]
 
 import asyncio
+from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -15,6 +16,7 @@
     InstanceChange,
     Value,
 )
+from ragwortferry.utils.decoding import decode_untrusted
 
 POLL_INTERVAL_S = 0.2
 
@@ -81,11 +83,11 @@
         value = await self._poll(path, after, wait)
         if value is None:
             return None
-        try:
-            entries = msgspec.json.decode(value.data, type=list[Instance])
-        except msgspec.DecodeError as error:
-            raise SourceError(f"invalid instance list {path}: {error}") from error
-        return InstanceChange(value.revision, True, entries, [])
+        decode = partial(msgspec.json.decode, type=list[Instance])
+        result = decode_untrusted(decode, value.data)
+        if result.is_error():
+            raise SourceError(f"invalid instance list {path}: {result.swap().ok}")
+        return InstanceChange(value.revision, True, result.ok, [])
 
     async def close(self) -> None:
         """Do nothing, as no file is kept open."""
--- a/ragwortferry/source/http.py
+++ b/ragwortferry/source/http.py
@@ -3,12 +3,14 @@
 __all__ = ["HttpSource"]
 
 import asyncio
+from functools import partial
 
 import aiohttp
 import msgspec
 
 from ragwortferry.exceptions import SourceError
 from ragwortferry.source.port import SOURCES, InstanceChange, Value
+from ragwortferry.utils.decoding import decode_untrusted
 
 # Seconds that a call may take in addition to its ``wait``.
 RESPONSE_TIMEOUT_S = 3.0
@@ -79,12 +81,14 @@
             raise SourceError(
                 f"instance list request to {self._base_url}: status {status}"
             )
-        try:
-            return msgspec.json.decode(data, type=InstanceChange)
-        except msgspec.DecodeError as error:
+        decode = partial(msgspec.json.decode, type=InstanceChange)
+        result = decode_untrusted(decode, data)
+        if result.is_error():
+            reason = result.swap().ok
             raise SourceError(
-                f"invalid instance list from platform {self._base_url}: {error}"
-            ) from error
+                f"invalid instance list from platform {self._base_url}: {reason}"
+            )
+        return result.ok
 
     async def close(self) -> None:
         """Close the connections."""
--- a/ragwortferry/source/tests/test_source.py
+++ b/ragwortferry/source/tests/test_source.py
@@ -8,6 +8,7 @@
 from ragwortferry.source import directory, http  # noqa: F401
 from ragwortferry.source.port import ACCEPTED_KEY, open_source, section_key
 from ragwortferry.tests.builders import instance, run, section
+from ragwortferry.tests.odd_entries import nested_json
 from ragwortferry.utils.digests import content_digest
 from standins.fleet import free_ports, wait_until
 from standins.platform import Faults, Platform, PlatformServer
@@ -127,3 +128,29 @@
 def test_unknown_scheme_raises_settings_error():
     with pytest.raises(SettingsError, match="not one of dir, http, https"):
         open_source("ftp://x")
+
+
+@pytest.mark.parametrize("text", ["?", "{}", nested_json(90_000)], ids=["", "{}", "[["])
+def test_invalid_instance_list_raises_source_error(tmp_path, text):
+    (tmp_path / "instances.json").write_text(text)
+
+    async def scenario():
+        source = open_source(f"dir:{tmp_path}")
+        with pytest.raises(SourceError, match="invalid instance list"):
+            await source.instances(0, 1)
+
+    run(scenario())
+
+
+def test_deeply_nested_instance_list_of_the_platform_raises_source_error(monkeypatch):
+    async def scenario():
+        source = open_source("http://127.0.0.1:1", "127.0.0.1")
+
+        async def respond(*args, **params):
+            return 200, 1, f'{{"other":{nested_json(90_000)}}}'.encode()
+
+        monkeypatch.setattr(source, "_get", respond)
+        with pytest.raises(SourceError, match="invalid instance list"):
+            await source.instances(0, 1)
+
+    run(scenario())
