Reset the connections of stand-ins that crash or are cut

Cause: an upstream stand-in that sends a body without length and without end crashed. asyncio's abort closes the socket, which the peer sees as an orderly end unless data is unread, and the fault proxies turned resets into ends too.

Change: crashes, cut heads and proxies reset connections (SO_LINGER).

The program is unchanged.

--- a/ragwortferry/mesh/tests/test_faulty_responses.py
+++ b/ragwortferry/mesh/tests/test_faulty_responses.py
@@ -14,6 +14,8 @@
 
 PIPELINED, BATCHES = 4, 60
 RESET_INTERVAL_S = 0.15
+# More than a node buffers before it begins to send a response.
+MANY_BYTES = 8 * 2**20
 
 
 def _config(route_type: str) -> dict:
@@ -148,3 +150,21 @@
         assert statuses.total() == BATCHES * PIPELINED and statuses[200]
 
     run_scenario(scenario, config=_config("safe"), network=Network())
+
+
+@pytest.mark.parametrize("proxied", [False, True])
+def test_response_without_length_of_an_upstream_that_crashes_is_not_complete(
+    run_scenario, proxied
+):
+    async def scenario(mesh):
+        upstream = mesh.machines[2].upstream
+        upstream.fault = "endless-body"
+        request = asyncio.create_task(
+            mesh.send(mesh.machines[0], "/panels/exports/1", "r1", deadline_ms=5000)
+        )
+        await mesh.wait_until(lambda: upstream.endless_bytes["r1"] > MANY_BYTES)
+        await upstream.crash()
+        status, *_ = await request
+        assert status == 0
+
+    run_scenario(scenario, network=Network() if proxied else None)
--- a/standins/network.py
+++ b/standins/network.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from standins.resets import reset
+
 CHUNK_BYTES = 65_536
 SLOW_CHUNK_BYTES = 1_024
 
@@ -130,8 +132,8 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for client, server in list(self._open.items()):
-            client.transport.abort()
-            server.transport.abort()
+            reset(client.transport)
+            reset(server.transport)
 
     def silence_open(self) -> None:
         """Discard all further data of the open connections; new ones work."""
@@ -141,8 +143,8 @@
         """Reset the open connections between partitioned zones."""
         for client, server in list(self._open.items()):
             if self._fault_for(client) is Fault.PARTITION:
-                client.transport.abort()
-                server.transport.abort()
+                reset(client.transport)
+                reset(server.transport)
 
     async def _accept(self, reader, writer) -> None:
         self.accepted += 1
@@ -150,11 +152,11 @@
         self._tasks.add(task)
         try:
             await self._forward(reader, writer)
+            writer.transport.abort()
         except (OSError, asyncio.CancelledError):
-            pass
+            reset(writer.transport)
         finally:
             self._tasks.discard(task)
-            writer.transport.abort()
 
     async def _forward(self, reader, writer) -> None:
         if self._fault_for(writer) is Fault.PARTITION:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -12,6 +12,8 @@
 
 from aiohttp import web
 
+from standins.resets import reset
+
 ENDLESS_PIECE = b"x" * 65_536
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
@@ -117,7 +119,7 @@
         self.crashes.append((time.monotonic(), list(self._at_work)))
         for connection in self._runner.server.connections:
             if connection.transport is not None:
-                connection.transport.abort()
+                reset(connection.transport)
         await site.stop()
 
     async def restart(self, name: str) -> None:
@@ -265,7 +267,7 @@
         transport = request.transport
         transport.write(head[: self._rng.randrange(len(head))].encode())
         if self._rng.random() < 0.5:
-            transport.abort()
+            reset(transport)
         else:
             transport.close()
         raise asyncio.CancelledError
