End a long response at its deadline if its owner falls silent

Cause: while a long response is passed on, only its owner kept the deadline. If the owner falls silent, the entry noticed that by the heartbeat of the link alone: after 0.5 s, or up to 2 s over slow network links. Class: a bound of one node that is left to another.

Change: the entry ends the response itself, 0.25 s after the deadline at the latest.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -724,6 +724,14 @@
         f"{FAULTY}::test_refusal_written_once_more_neither_promises_nor_repeats_"
         "anything",
     ),
+    Mechanism(
+        "deadline of long responses",
+        "ragwortferry/mesh/entry.py",
+        "asyncio.timeout_at(context.deadline + STREAM_MARGIN_S)",
+        "asyncio.timeout_at(None)",
+        f"{FAULTY}::test_long_response_ends_soon_after_its_deadline_if_its_owner_falls_"
+        "silent",
+    ),
     Mechanism(
         "line about an awaited version",
         "ragwortferry/mesh/links/relay.py",
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -48,6 +48,9 @@
 MAX_REFUSALS_OUTDATED = 6
 # Time before the caller's deadline that is reserved for the node's own response.
 RESPONSE_MARGIN_S = 0.005
+# Time after ``RequestContext.deadline`` for the rest of a long response that is on its
+# way. Its owner ends it at the deadline, unless the owner has fallen silent.
+STREAM_MARGIN_S = 0.25
 # Time before ``RequestContext.deadline`` by which the owner must have replied.
 OWNER_MARGIN_S = 0.01
 # A request is considered a caller's retry of a refused request if its timeout is below
@@ -492,14 +495,7 @@
                 await reply.wait(MAX_BUFFERED_BYTES)
         except TimeoutError:
             self._cancel(attempt, attempt_state)
-            failure = Failure(
-                ErrorKind.DEADLINE,
-                Outcome.UNKNOWN,
-                "deadline passed before the reply was complete",
-                0,
-                True,
-            )
-            reply.on_reply_failed(failure, None)
+            reply.on_reply_failed(_deadline_failure(), None)
         except asyncio.CancelledError:
             self._cancel(attempt, attempt_state)
             record["outcome"] = str(Outcome.UNKNOWN)
@@ -694,17 +690,21 @@
         """Stream a long response to the caller."""
         exchange.start(reply.status, reply.headers, reply.length)
         try:
-            while True:
-                data = reply.read()
-                exchange.write(data)
-                if reply.finished:
-                    break
-                await exchange.drain()
-                if attempt_state is not None:
-                    reply.window.take(len(data))
-                else:
-                    self._peers.report_taken(attempt, len(data))
-                await reply.wait(reply.size + 1)
+            async with asyncio.timeout_at(context.deadline + STREAM_MARGIN_S):
+                while True:
+                    data = reply.read()
+                    exchange.write(data)
+                    if reply.finished:
+                        break
+                    await exchange.drain()
+                    if attempt_state is not None:
+                        reply.window.take(len(data))
+                    else:
+                        self._peers.report_taken(attempt, len(data))
+                    await reply.wait(reply.size + 1)
+        except TimeoutError:
+            self._cancel(attempt, attempt_state)
+            reply.on_reply_failed(_deadline_failure(), None)
         except asyncio.CancelledError:
             self._cancel(attempt, attempt_state)
             raise
@@ -717,6 +717,11 @@
         self._recorder.request(context, reply.status, error, Outcome.RAN, complete)
 
 
+def _deadline_failure() -> Failure:
+    detail = "deadline passed before the reply was complete"
+    return Failure(ErrorKind.DEADLINE, Outcome.UNKNOWN, detail, sent=True)
+
+
 def _caller_key(context: RequestContext) -> CallerKey:
     """Return what identifies the caller of a request when it repeats it."""
     request = context.request
--- a/ragwortferry/mesh/tests/test_faulty_responses.py
+++ b/ragwortferry/mesh/tests/test_faulty_responses.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import signal
+import time
 
 import pytest
 
@@ -16,6 +18,8 @@
 RESET_INTERVAL_S = 0.15
 # More than a node buffers before it begins to send a response.
 MANY_BYTES = 8 * 2**20
+# Time after the deadline by which the users want each request answered.
+MAX_LATENESS_S = 0.5
 
 
 def _config(route_type: str) -> dict:
@@ -168,3 +172,31 @@
         assert status == 0
 
     run_scenario(scenario, network=Network() if proxied else None)
+
+
+@pytest.mark.parametrize("link_mbps, deadline_s", [(1000.0, 0.6), (4.0, 8.0)])
+def test_long_response_ends_soon_after_its_deadline_if_its_owner_falls_silent(
+    run_scenario, link_mbps, deadline_s
+):
+    async def scenario(mesh):
+        owner = mesh.machines[2]
+        owner.upstream.fault = "endless-body"
+        started_at = time.monotonic()
+        request = asyncio.create_task(
+            mesh.send(
+                mesh.machines[0],
+                "/panels/exports/1",
+                "r1",
+                deadline_ms=1000 * deadline_s,
+            )
+        )
+        await asyncio.sleep(deadline_s - 0.05)
+        owner.process.send_signal(signal.SIGSTOP)
+        status, *_ = await request
+        assert time.monotonic() - started_at <= deadline_s + MAX_LATENESS_S
+        assert status == 0
+
+    config = _config("safe")
+    for rule in config["listeners"][0]["rules"]:
+        rule["action"]["timeout_s"] = 10
+    run_scenario(scenario, config=config, link_mbps=link_mbps)
