--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -31,7 +31,7 @@
 from benchmarks.figures import Figures, Sample, second_of, write_figures
 from benchmarks.promises import Call, Findings, check_calls, check_versions
 from benchmarks.statements import Episode, check_statements
-from ragwortferry.tests.odd_entries import ODD_ENTRIES
+from ragwortferry.tests.invalid_entries import INVALID_ENTRIES
 from ragwortferry.utils.registry import Registry
 from standins.mesh import READY_PORT, Machine, Mesh
 from standins.network import Fault, Network
@@ -602,13 +602,13 @@
     soak.delayed.add(ready)
 
 
-@FAULTS.register("odd-entry")
-async def _odd_entry(soak: Soak) -> None:
-    """Write an odd registry entry beside the others, or in place of one."""
+@FAULTS.register("invalid-entry")
+async def _invalid_entry(soak: Soak) -> None:
+    """Write an invalid registry entry beside the others, or in place of one."""
     store, machine = soak.mesh.store, soak.rng.choice(soak.mesh.machines)
-    data = soak.rng.choice(list(ODD_ENTRIES.values()))
+    data = soak.rng.choice(list(INVALID_ENTRIES.values()))
     replaces = soak.rng.random() < 0.5
-    key = f"servers/{machine.upstream.name}" if replaces else "servers/odd"
+    key = f"servers/{machine.upstream.name}" if replaces else "servers/invalid"
     await store.put(key, data)
 
     async def recover() -> None:
--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -692,7 +692,7 @@
         "ragwortferry/utils/decoding.py",
         "except Exception as error:",
         "except UnicodeDecodeError as error:",
-        f"{DECODERS}::test_odd_registry_entry_is_rejected",
+        f"{DECODERS}::test_invalid_registry_entry_is_rejected",
     ),
     Mechanism(
         "bounds of registry entries",
@@ -717,7 +717,7 @@
         f"{EXTREME}::test_extreme_number_is_rejected_or_passes_encoders_and_timers",
     ),
     Mechanism(
-        "doubt about refusals without an id",
+        "discarding of refusals without an id",
         "ragwortferry/mesh/response.py",
         "return is_first and head.status in NOT_RUN_STATUSES",
         "return head.status in NOT_RUN_STATUSES",
--- a/ragwortferry/document/tests/test_document.py
+++ b/ragwortferry/document/tests/test_document.py
@@ -14,7 +14,7 @@
 )
 from ragwortferry.document.snapshot import Section, build_snapshot
 from ragwortferry.tests.builders import manifest, section
-from ragwortferry.tests.odd_entries import nested_json
+from ragwortferry.tests.invalid_entries import nested_json
 from ragwortferry.utils.digests import content_digest
 
 
--- a/ragwortferry/http1/tests/test_client.py
+++ b/ragwortferry/http1/tests/test_client.py
@@ -76,7 +76,7 @@
 
 
 @pytest.mark.parametrize("value", ["\u00b2", "9" * 5_000, "9" * 400, "-1", "", "x"])
-def test_odd_keep_alive_time_does_not_spoil_the_response(value):
+def test_invalid_keep_alive_time_does_not_spoil_the_response(value):
     async def scenario(address):
         connection = await open_connection(address)
         sink = CollectingSink("1")
--- a/ragwortferry/mesh/response.py
+++ b/ragwortferry/mesh/response.py
@@ -87,7 +87,7 @@
         """Return whether the response belongs to this request.
 
         A late response to an earlier request on the connection carries that one's id. A
-        refusal without an id is believed only on a new connection, where it cannot be
+        refusal without an id is accepted only on a new connection, where it cannot be
         the repetition of an earlier one.
         """
         response_id = get_header(head.headers, REQUEST_ID_HEADER)
--- a/ragwortferry/mesh/tests/test_entry.py
+++ b/ragwortferry/mesh/tests/test_entry.py
@@ -232,7 +232,7 @@
         ("9" * 5_000, MAX_CALLER_TIMEOUT_S),
     ],
 )
-def test_odd_timeout_of_a_caller_is_bounded_or_ignored(text, expected):
+def test_invalid_timeout_of_a_caller_is_bounded_or_ignored(text, expected):
     headers = [("X-Deadline-Ms", text)]
     request = Request("GET", "/", headers, b"", True, 0.0)
     assert _caller_timeout_s(request, 1.5) == expected
--- a/ragwortferry/mesh/tests/test_odd_entries.py
+++ b/ragwortferry/mesh/tests/test_invalid_entries.py
@@ -1,18 +1,18 @@
-"""Nodes keep following the registry while odd entries stand in it."""
+"""Nodes keep following the registry while invalid entries stand in it."""
 
 import asyncio
 import signal
 
+from ragwortferry.tests.invalid_entries import INVALID_ENTRIES
 from ragwortferry.tests.mesh_builders import a_config
-from ragwortferry.tests.odd_entries import ODD_ENTRIES
 
 # Bounds ``config_apply_s`` and ``drain_s`` of the settings.
 IN_FORCE_S = 2.0
 
 
-async def _leave_odd_entries(mesh) -> None:
-    for number, data in enumerate(ODD_ENTRIES.values()):
-        await mesh.store.put(f"servers/odd-{number}", data)
+async def _write_invalid_entries(mesh) -> None:
+    for number, data in enumerate(INVALID_ENTRIES.values()):
+        await mesh.store.put(f"servers/invalid-{number}", data)
 
 
 async def _assert_departure_and_version_are_followed(mesh) -> None:
@@ -29,9 +29,9 @@
         assert not leaving.upstream.runs[request_id]
 
 
-def test_odd_entries_do_not_keep_nodes_from_following_the_registry(run_scenario):
+def test_invalid_entries_do_not_keep_nodes_from_following_the_registry(run_scenario):
     async def scenario(mesh):
-        await _leave_odd_entries(mesh)
+        await _write_invalid_entries(mesh)
         await _assert_departure_and_version_are_followed(mesh)
         for machine in mesh.machines:
             assert machine.process.returncode is None
@@ -40,9 +40,9 @@
     run_scenario(scenario)
 
 
-def test_nodes_that_all_start_beside_odd_entries_become_ready(run_scenario):
+def test_nodes_that_all_start_beside_invalid_entries_become_ready(run_scenario):
     async def scenario(mesh):
-        await _leave_odd_entries(mesh)
+        await _write_invalid_entries(mesh)
         for machine in mesh.machines:
             await mesh.stop_node(machine, signal.SIGKILL)
         for machine in mesh.machines:
@@ -54,9 +54,9 @@
     run_scenario(scenario)
 
 
-def test_odd_entries_cost_no_calls_and_no_lines_while_they_stay(run_scenario):
+def test_invalid_entries_cost_no_calls_and_no_lines_while_they_stay(run_scenario):
     async def scenario(mesh):
-        await _leave_odd_entries(mesh)
+        await _write_invalid_entries(mesh)
         await asyncio.sleep(1.0)
         lists = mesh.store.calls["kv-range"]
         lines = [len(machine.log.read_text()) for machine in mesh.machines]
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -430,9 +430,9 @@
     monkeypatch.setattr(reader_module, "WATCH_PAUSE_S", 0.0)
 
     async def scenario():
-        odd = Item("servers/i-2", 12, b'{"address": 3}')
+        invalid = Item("servers/i-2", 12, b'{"address": 3}')
         known = [_item(f"i-{n}", n) for n in range(1, 4)]
-        second = [known[0], odd, known[2]] if listed else [odd]
+        second = [known[0], invalid, known[2]] if listed else [invalid]
         store = FakeStore(
             _page(*known),
             _page(*second, revision=12),
--- a/ragwortferry/mesh/tests/test_owner.py
+++ b/ragwortferry/mesh/tests/test_owner.py
@@ -252,7 +252,7 @@
 @pytest.mark.parametrize("idempotent", [True, False])
 @pytest.mark.parametrize("header", ["", "X-Request-Id: r0\r\n"], ids=["no id", "id"])
 @pytest.mark.parametrize("status", [400, 421, 429, 503])
-def test_refusal_written_once_more_on_a_kept_connection_is_not_believed(
+def test_refusal_written_once_more_on_a_kept_connection_is_discarded(
     status, header, idempotent
 ):
     refusal = (
--- a/ragwortferry/platform/tests/test_accepted_entries.py
+++ b/ragwortferry/platform/tests/test_accepted_entries.py
@@ -32,8 +32,8 @@
 )
 
 
-def _usually(sound, odd=OTHER):
-    return st.one_of(st.just(sound), odd)
+def _usually(valid, other=OTHER):
+    return st.one_of(st.just(valid), other)
 
 
 ENTRIES = st.fixed_dictionaries(
--- a/ragwortferry/platform/tests/test_decoders.py
+++ b/ragwortferry/platform/tests/test_decoders.py
@@ -12,8 +12,8 @@
 from ragwortferry.platform.config import DocumentDecoder, decode_document
 from ragwortferry.platform.registry import decode_upstream
 from ragwortferry.platform.settings import load_node_settings, settings_path
+from ragwortferry.tests.invalid_entries import INVALID_ENTRIES, nested_json
 from ragwortferry.tests.mesh_builders import a_config, a_registry_entry, a_route
-from ragwortferry.tests.odd_entries import ODD_ENTRIES, nested_json
 
 SETTINGS = """
 node = "sidecar-a-1"
@@ -123,8 +123,8 @@
     assert decode_upstream("servers/i-1", a_registry_entry(**change), 9).is_error()
 
 
-@pytest.mark.parametrize("data", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
-def test_odd_registry_entry_is_rejected(data):
+@pytest.mark.parametrize("data", INVALID_ENTRIES.values(), ids=INVALID_ENTRIES)
+def test_invalid_registry_entry_is_rejected(data):
     assert decode_upstream("servers/i-1", data, 9).is_error()
 
 
--- a/ragwortferry/platform/tests/test_store.py
+++ b/ragwortferry/platform/tests/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ragwortferry.platform.store import StoreClient, StoreUnavailableError
-from ragwortferry.tests.odd_entries import nested_json
+from ragwortferry.tests.invalid_entries import nested_json
 from ragwortferry.utils.sockets import Address
 
 CHUNKS, CHUNK_INTERVAL_S = 8, 0.3
--- a/ragwortferry/source/tests/test_source.py
+++ b/ragwortferry/source/tests/test_source.py
@@ -8,7 +8,7 @@
 from ragwortferry.source import directory, http  # noqa: F401
 from ragwortferry.source.port import ACCEPTED_KEY, open_source, section_key
 from ragwortferry.tests.builders import instance, run, section
-from ragwortferry.tests.odd_entries import nested_json
+from ragwortferry.tests.invalid_entries import nested_json
 from ragwortferry.utils.digests import content_digest
 from standins.fleet import free_ports, wait_until
 from standins.platform import Faults, Platform, PlatformServer
--- a/ragwortferry/tests/odd_entries.py
+++ b/ragwortferry/tests/invalid_entries.py
@@ -1,6 +1,6 @@
-"""Builders of odd registry entries, as another writer of the store leaves them."""
+"""Invalid registry entries, as another writer of the store leaves them."""
 
-__all__ = ["ODD_ENTRIES", "nested_json", "with_field"]
+__all__ = ["INVALID_ENTRIES", "nested_json", "with_field"]
 
 import json
 
@@ -31,8 +31,8 @@
     return json.dumps(entry).replace(json.dumps(PLACEHOLDER), raw).encode()
 
 
-# Entries that name no upstream to use, by what is odd about them.
-ODD_ENTRIES: dict[str, bytes] = {
+# Entries that name no upstream to use, by what is invalid.
+INVALID_ENTRIES: dict[str, bytes] = {
     "no JSON": b"\x00\xff?",
     "deeply nested": with_field("other", nested_json(90_000)),
     "deeply nested info": with_field(
