Show that any evacuated zone can be passed on and logged

The value of an evacuation is not read; the name of its zone comes from the key.

Change: none of the program. A fuzz test carries zone names and revisions through the message, the state and the log.

--- a/ragwortferry/platform/tests/test_accepted_entries.py
+++ b/ragwortferry/platform/tests/test_accepted_entries.py
@@ -1,4 +1,4 @@
-"""Whatever the decoder of registry entries accepts can be used and passed on."""
+"""Whatever the decoders of the store's items accept can be used and passed on."""
 
 import asyncio
 import json
@@ -9,10 +9,18 @@
 
 from ragwortferry.http1.messages import encode_request
 from ragwortferry.mesh.admission.warmup import MARGIN_S, MAX_START_FACTOR, WarmUp
-from ragwortferry.mesh.links.frames import Registry, decode_frame, encode_frame
+from ragwortferry.mesh.links.frames import (
+    EvacuatedZones,
+    Registry,
+    ZoneChange,
+    decode_frame,
+    encode_frame,
+)
 from ragwortferry.mesh.model import Service
 from ragwortferry.mesh.state import MeshState, RegistryChange
+from ragwortferry.mesh.zones import Evacuations
 from ragwortferry.platform.config import decode_document
+from ragwortferry.platform.evacuation import evacuated_zone
 from ragwortferry.platform.names import TARGET_HEADER
 from ragwortferry.platform.registry import decode_upstream
 from ragwortferry.tests.mesh_builders import RecordingLog
@@ -94,3 +102,19 @@
         loop.call_at(warmup.ends_at, lambda: None).cancel()
 
     asyncio.run(wait_while_cold())
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.text(max_size=60), st.integers(0, 2**63 - 1))
+@example("z" * 200, 2**63 - 1)
+@example("b\r\n\x00", 0)
+def test_any_evacuated_zone_passes_encoder_state_and_log(name, revision):
+    key = f"op/evacuate/{name}"
+    zone = evacuated_zone(key)
+    assert zone == name
+    frame = EvacuatedZones([ZoneChange(zone, revision, True)])
+    assert decode_frame(encode_frame(frame)) == frame
+    evacuations = Evacuations()
+    evacuations.apply(frame.changes)
+    assert evacuations.includes(zone)
+    assert json.loads(json.dumps(evacuations.zones)) == [zone]
