Handle no request behind the announced close of a connection

Callers saw: in a planned stop, requests that were pipelined behind a response with "Connection: close" were passed on, ran, and were cut without an answer, unsafe ones among them.

Cause: a response announces the close if it is the last one when its head is written. It may then still wait for an earlier response, or be long. A request that comes meanwhile was handled like any other, and cancelled as soon as the announced response had been sent. The same happened behind a request whose caller asked for the close.

Evidence: with real nodes, a request that the caller sends after the response before it was written ran (GET and POST) and got no answer; on the server alone, requests 3 and 4 reached the handler.

Change: what follows a request whose response closes the connection is ignored, as RFC 9112, 9.6 asks, so it is never passed on and the caller may send it again elsewhere.

--- a/ragwortferry/http1/server.py
+++ b/ragwortferry/http1/server.py
@@ -178,6 +178,11 @@
         """Return whether a request is being read or awaits its response."""
         return bool(self._pending) or self._request_started_at is not None
 
+    @property
+    def _ends_after_last(self) -> bool:
+        """Return whether the response to the last request closes the connection."""
+        return self.last is not None and self.last.close_after
+
     @property
     def congested(self) -> bool:
         """Return whether the write buffer is above its high-water mark."""
@@ -248,7 +253,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse request data; the parser calls the ``on_`` methods below."""
-        if self._closing or self._server.closed and self._request_started_at is None:
+        if self._closing or self._ends_after_last:
+            return
+        if self._server.closed and self._request_started_at is None:
             return
         self.last_active_at = self._loop.time()
         if not self._in_body:
@@ -299,7 +306,8 @@
 
     def on_message_complete(self) -> None:
         """Start the handler of the complete request."""
-        if self._closing:
+        if self._closing or self._ends_after_last:
+            # Requests behind an announced close are not processed (RFC 9112, 9.6).
             return
         request = Request(
             self._parser.get_method().decode("latin-1"),
@@ -380,7 +388,7 @@
 
         The rest of the input is ignored, since the end of the request is unknown.
         """
-        if self._closing:
+        if self._closing or self._ends_after_last:
             return
         request = Request("", "", [], b"", False, self._loop.time())
         exchange = Exchange(self, request)
--- a/ragwortferry/http1/tests/test_server.py
+++ b/ragwortferry/http1/tests/test_server.py
@@ -169,6 +169,29 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("announced_by", ["server", "caller"])
+def test_request_behind_an_announced_close_is_not_handled(announced_by):
+    """Guards against requests that are passed on and then cut without an answer."""
+
+    async def scenario(server, handler, reader, writer):
+        writer.write(_get("/wait/1"))
+        await handler.wait_until_seen(1)
+        server.draining = announced_by == "server"
+        close = b"Connection: close\r\n\r\n" if announced_by == "caller" else b"\r\n"
+        writer.write(_get("/2").removesuffix(b"\r\n") + close)
+        await handler.wait_until_seen(2)
+        (connection,) = server.connections
+        connection.data_received(_get("/3") + b"nonsense\r\n\r\n")
+        connection.data_received(_get("/4"))
+        handler.release("/wait/1")
+        await reader.readuntil(b"/wait/1")
+        assert b"Connection: close" in await reader.readuntil(b"/2")
+        assert await reader.read() == b""
+        assert handler.seen == ["/wait/1", "/2"]
+
+    _run(scenario)
+
+
 LONG = bytes(range(256)) * 300
 
 
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -5,6 +5,7 @@
     "RecordingLog",
     "a_config",
     "a_config_with_cold_upstreams",
+    "a_config_with_routes",
     "a_document",
     "a_large_config",
     "a_link",
@@ -270,6 +271,18 @@
     return {**config, **changes}
 
 
+def a_config_with_routes(route_type: str, timeout_s: float = 1) -> dict:
+    """Return a configuration whose routes are all of one type.
+
+    :param timeout_s: timeout of each route.
+    """
+    config = a_config()
+    for rule in config["listeners"][0]["rules"]:
+        rule["route_type"] = route_type
+        rule["action"]["timeout_s"] = timeout_s
+    return config
+
+
 def a_config_with_cold_upstreams(cold_per_s: float, cold_start_s: float) -> dict:
     """Return a configuration that bounds the requests to cold upstreams."""
     config = a_config()
