Wait in a planned stop until callers have taken their responses

Callers saw: in a planned stop, responses that were read slowly ended before their announced length.

Cause: a request counted as in flight until its response was in the write buffer of the connection. The node then found itself idle and exited 2.6 s after the signal, with up to 1 MiB a response in its memory.

Evidence: ten pipelined responses of 900 kB, read over four seconds from the signal on, of 6 s of grace time; the connection ended in the seventh or later (30 kB expected, 22.5 kB read). The test failed before.

Change: idle means also that no connection of a caller holds bytes that it has not taken. The end of the grace time bounds the wait as before.

--- a/ragwortferry/http1/server.py
+++ b/ragwortferry/http1/server.py
@@ -173,6 +173,11 @@
         """Return whether the server is draining and asks callers to close."""
         return self._server.draining
 
+    @property
+    def idle(self) -> bool:
+        """Return whether all responses have been taken."""
+        return not self._pending and not self.held_bytes
+
     @property
     def busy(self) -> bool:
         """Return whether a request is being read or awaits its response."""
@@ -455,6 +460,11 @@
         """Return the bytes of responses that callers had not taken when last looked."""
         return self._backlog.size
 
+    @property
+    def idle(self) -> bool:
+        """Return whether each caller has taken the responses to its requests."""
+        return all(connection.idle for connection in self.connections)
+
     async def start(self) -> None:
         """Start to listen.
 
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -164,6 +164,11 @@
         """Return the number of upstreams known to have a limit."""
         return self._balancer.limited_count
 
+    @property
+    def idle(self) -> bool:
+        """Return whether each caller has taken the responses to its requests."""
+        return not self.in_flight and self._server.idle
+
     @property
     def held_bytes(self) -> int:
         """Return the bytes of responses that callers have not taken yet."""
--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -266,7 +266,7 @@
         kernel.get("peers").broadcast_load()
         pacer = kernel.get("outflow")
         while (elapsed := loop.time() - started_at) < max_duration_s:
-            if not owner.idle or not pacer.idle or entry.in_flight:
+            if not (owner.idle and pacer.idle and entry.idle):
                 quiet_since = loop.time()
             quiet = loop.time() - quiet_since > IDLE_CHECK_INTERVAL_S
             if (
@@ -278,7 +278,7 @@
             if elapsed > MIN_SHUTDOWN_S and loop.time() - quiet_since > QUIET_PERIOD_S:
                 return
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
-        if entry.in_flight or not owner.idle:
+        if not (owner.idle and entry.idle):
             self._log.event(
                 "cut", "requests aborted at shutdown", in_flight=entry.in_flight
             )
--- a/ragwortferry/mesh/tests/test_planned_stop.py
+++ b/ragwortferry/mesh/tests/test_planned_stop.py
@@ -46,3 +46,31 @@
 
     config = a_config_with_routes("safe" if method == "GET" else "unsafe", 3)
     run_scenario(scenario, config=config)
+
+
+def test_stopping_node_waits_for_a_caller_that_reads_slowly(run_scenario):
+    """Guards against long responses that end with the process."""
+    size, count, pieces, pause_s = 900_000, 10, 30, 0.013
+
+    async def scenario(mesh):
+        stopping = mesh.machines[0]
+        mesh.machines[2].upstream.long_response_bytes = size
+        caller = await PipeliningCaller.connect(stopping, receive_bytes=16_384)
+        for number in range(count):
+            caller.send("GET", EXPORT, f"long-{number}", 6000)
+        await mesh.wait_until(
+            lambda: all(
+                _is_logged(mesh, stopping, f"long-{number}") for number in range(count)
+            )
+        )
+        end = await _begin_stop(mesh, stopping)
+        for number in range(count):
+            status, headers = await caller.read_head()
+            assert status == 200 and headers["x-request-id"] == f"long-{number}"
+            for _ in range(pieces):
+                await caller.reader.readexactly(size // pieces)
+                await asyncio.sleep(pause_s)
+        assert await end == 0
+        caller.close()
+
+    run_scenario(scenario, config=a_config_with_routes("safe", 6))
