Wait in a planned stop for requests that are being read

Callers saw: in a planned stop, uploads were cut off in the middle, 2.8 s after the signal, or with the response to an earlier request of their connection.

Cause: only requests that were complete counted as in flight, and a response announced the close of its connection although a request behind it had begun to come.

Change: a connection on which a request is being read is not idle, and no response on it announces the close. The time limits of headers and the end of the grace time bound the wait as before.

--- a/ragwortferry/http1/server.py
+++ b/ragwortferry/http1/server.py
@@ -126,8 +126,9 @@
             self._connection.send(data)
 
     def _update_close_after(self) -> None:
-        if self._connection.wants_close and self._connection.last is self:
-            self.close_after = True
+        connection = self._connection
+        if connection.wants_close and connection.last is self:
+            self.close_after |= not connection.reading
 
     def _write(self, data: bytes) -> None:
         if self.is_first:
@@ -175,13 +176,18 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether all responses have been taken."""
-        return not self._pending and not self.held_bytes
+        """Return whether no request is being read and all responses are taken."""
+        return not self.held_bytes and (self._closing or not self.busy)
+
+    @property
+    def reading(self) -> bool:
+        """Return whether a part of a request has been read."""
+        return self._request_started_at is not None
 
     @property
     def busy(self) -> bool:
         """Return whether a request is being read or awaits its response."""
-        return bool(self._pending) or self._request_started_at is not None
+        return bool(self._pending) or self.reading
 
     @property
     def _ends_after_last(self) -> bool:
@@ -462,7 +468,7 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether each caller has taken the responses to its requests."""
+        """Return whether no request is being read and all responses are taken."""
         return all(connection.idle for connection in self.connections)
 
     async def start(self) -> None:
--- a/ragwortferry/http1/tests/test_server.py
+++ b/ragwortferry/http1/tests/test_server.py
@@ -192,6 +192,27 @@
     _run(scenario)
 
 
+def test_draining_server_reads_the_rest_of_a_request_before_it_closes():
+    """Guards against uploads that end with the response to an earlier request."""
+
+    async def scenario(server, handler, reader, writer):
+        writer.write(_get("/wait/1"))
+        await handler.wait_until_seen(1)
+        server.draining = True
+        (connection,) = server.connections
+        head = b"POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\n"
+        connection.data_received(head + b"abc")
+        handler.release("/wait/1")
+        first = await reader.readuntil(b"/wait/1")
+        assert b"close" not in first and not connection.idle
+        writer.write(b"def")
+        assert b"Connection: close" in await reader.readuntil(b"/2")
+        assert await reader.read() == b"" and connection.idle
+        assert handler.bodies == [b"", b"abcdef"]
+
+    _run(scenario)
+
+
 LONG = bytes(range(256)) * 300
 
 
--- a/ragwortferry/mesh/entry.py
+++ b/ragwortferry/mesh/entry.py
@@ -166,7 +166,7 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether each caller has taken the responses to its requests."""
+        """Return whether no request is being read and all responses are taken."""
         return not self.in_flight and self._server.idle
 
     @property
--- a/ragwortferry/mesh/tests/test_planned_stop.py
+++ b/ragwortferry/mesh/tests/test_planned_stop.py
@@ -74,3 +74,22 @@
         caller.close()
 
     run_scenario(scenario, config=a_config_with_routes("safe", 6))
+
+
+def test_stopping_node_waits_for_the_rest_of_a_body(run_scenario):
+    """Guards against uploads that are cut off since the node seems idle."""
+    pieces, pause_s = 40, 0.1
+
+    async def scenario(mesh):
+        stopping = mesh.machines[0]
+        caller = await PipeliningCaller.connect(stopping)
+        end = await _begin_stop(mesh, stopping)
+        caller.send("POST", "/panels/1", "r1", 5000, length=pieces)
+        for _ in range(pieces):
+            await asyncio.sleep(pause_s)
+            caller.send_body(b"x")
+        assert await caller.read_responses() == {"r1": 200}
+        assert await end == 0
+        caller.close()
+
+    run_scenario(scenario, config=a_config_with_routes("unsafe", 5))
