--- a/ragwortferry/mesh/tests/test_planned_stop.py
+++ b/ragwortferry/mesh/tests/test_planned_stop.py
@@ -1,12 +1,18 @@
 """A node that is stopped in calm: each request that it passes on gets its response."""
 
 import asyncio
+import itertools
+import random
+import signal
+import time
 
 import pytest
 
 from ragwortferry.tests.mesh_builders import a_config_with_routes
 from standins.callers import PipeliningCaller
 
+# Time between the signal and the end of the process, in the settings of the mesh.
+GRACE_S = 6.0
 EXPORT = "/panels/exports/1"
 
 
@@ -93,3 +99,132 @@
         caller.close()
 
     run_scenario(scenario, config=a_config_with_routes("unsafe", 5))
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_request_from_before_the_signal_that_cannot_end_is_answered(
+    run_scenario, method
+):
+    """Guards against callers that learn from a closed connection that a node ended."""
+
+    async def scenario(mesh):
+        stopping = mesh.machines[0]
+        mesh.machines[2].upstream.service_time_s = 9.0
+        caller = await PipeliningCaller.connect(stopping)
+        caller.send(method, EXPORT, "slow", 10_000)
+        await mesh.wait_until(lambda: mesh.count_runs("slow"))
+        end = await _begin_stop(mesh, stopping)
+        statuses = await caller.read_responses()
+        assert statuses["slow"] in (502, 504)
+        assert await end == 0
+        caller.close()
+
+    config = a_config_with_routes("safe" if method == "GET" else "unsafe", 12)
+    run_scenario(scenario, config=config)
+
+
+def test_queued_request_that_cannot_start_before_the_end_is_refused(run_scenario):
+    """Guards against callers that are not told that their request has not run."""
+
+    async def scenario(mesh):
+        stopping = mesh.machines[0]
+        mesh.machines[2].upstream.service_time_s = 9.0
+        callers = [await PipeliningCaller.connect(stopping) for _ in range(12)]
+        for number, caller in enumerate(callers):
+            caller.send("POST", EXPORT, f"r{number}", 20_000)
+        await mesh.wait_until(lambda: mesh.machines[2].upstream.running == 8)
+        end = await _begin_stop(mesh, stopping)
+        statuses = {}
+        for caller in callers:
+            statuses |= await caller.read_responses()
+            caller.close()
+        assert await end == 0
+        for number in range(12):
+            assert statuses[f"r{number}"] in (502, 503, 504)
+            if statuses[f"r{number}"] == 503:
+                assert mesh.count_runs(f"r{number}") == 0
+
+    run_scenario(scenario, config=a_config_with_routes("unsafe", 20))
+
+
+class _Pressing:
+    """Callers that send requests to a node until its process has ended.
+
+    Some of the deadlines lie around the end of the grace time.
+
+    :param count: number of callers; each waits for its response.
+    """
+
+    def __init__(self, mesh, machine, method: str, count: int):
+        self._mesh = mesh
+        self._machine = machine
+        self._method = method
+        self._signalled_at = float("inf")
+        self._callers = [asyncio.create_task(self._press(n)) for n in range(count)]
+        self.statuses: dict[str, int] = {}
+
+    async def _press(self, number: int) -> None:
+        rng = random.Random(number)
+        for step in itertools.count():
+            name = f"r{number}-{step}"
+            now = time.monotonic()
+            left_s = self._signalled_at + GRACE_S - now - rng.uniform(0.4, 0.8)
+            deadline_s = left_s if 0.45 < left_s < 1.4 else 0.9
+            status, _, headers = await self._mesh.send(
+                self._machine,
+                "/panels/1",
+                name,
+                deadline_ms=round(1000 * deadline_s),
+                method=self._method,
+            )
+            self.statuses[name] = status
+            if status == 0:
+                return
+            if status == 503:
+                await asyncio.sleep(float(headers.get("Retry-After", 0.1)))
+
+    async def stop(self) -> float:
+        """Stop the node, and return how long it took."""
+        self._signalled_at = time.monotonic()
+        assert await self._mesh.stop_node(self._machine) == 0
+        took_s = time.monotonic() - self._signalled_at
+        await asyncio.gather(*self._callers)
+        return took_s
+
+    @property
+    def cut(self) -> list[str]:
+        """Return the requests that ran and got no response."""
+        return [
+            name
+            for name, status in self.statuses.items()
+            if status == 0 and self._mesh.count_runs(name)
+        ]
+
+
+async def _suspend(machine, stopped_s: float, running_s: float) -> None:
+    """Suspend a node again and again until it has ended, as a CPU quota does."""
+    while machine.process.returncode is None:
+        machine.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(stopped_s)
+        if machine.process.returncode is None:
+            machine.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(running_s)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_stopping_node_with_a_third_of_a_core_cuts_no_request(run_scenario, method):
+    """Guards against responses that are due before the end and are sent after it."""
+
+    async def scenario(mesh):
+        stopping = mesh.machines[0]
+        for machine in mesh.machines:
+            machine.upstream.service_time_s = 0.4
+        pressing = _Pressing(mesh, stopping, method, 24)
+        throttling = asyncio.create_task(_suspend(stopping, 0.07, 0.03))
+        await mesh.wait_until(lambda: len(pressing.statuses) > 24)
+        assert await pressing.stop() < GRACE_S
+        await throttling
+        assert not pressing.cut and list(pressing.statuses.values()).count(200) > 24
+
+    config = a_config_with_routes("safe" if method == "GET" else "unsafe", 2)
+    run_scenario(scenario, config=config)
