Count the grace time from the stop signal, not from its handler

Callers would see: requests accepted until 5.4 s after the handler ran and cut by the kill at 6 s after the signal, if the process was suspended or its loop busy when the signal came.

Cause: the time at which the handler ran was taken for that of the signal.

Evidence: a node that is suspended for 1.5 s when the signal comes, while 12 callers send unsafe requests, ended 6.65 s after the signal; the platform kills it after 6. The test failed before.

Change: a timer measures for how long the callbacks of the loop may have waited, and the handler takes that off. A signal that comes while the services start counts from its own time too.

--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -38,6 +38,7 @@
 )
 from ragwortferry.utils.clock import HybridClock
 from ragwortferry.utils.egress import EgressPacer
+from ragwortferry.utils.lag import LoopLag
 
 # Minimum time between a stop signal and the exit. The platform probes readiness each
 # second and stops sending callers after two failures.
@@ -84,6 +85,8 @@
         # Whether each peer known at the start was dialed at least once. Peers that are
         # added later do not make the node unready.
         self._initial_dials_done = False
+        # Loop time of the stop signal, ``None`` before it comes.
+        self._signalled_at: float | None = None
         self.shutting_down = False
 
     def run(self) -> int:
@@ -91,9 +94,15 @@
         return run_main(self._run, "stdout")
 
     async def _run(self, loop: asyncio.AbstractEventLoop) -> int:
-        stopping = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, stopping.set)
-        loop.add_signal_handler(signal.SIGINT, stopping.set)
+        stopping, lag = asyncio.Event(), LoopLag(loop)
+
+        def on_stop_signal() -> None:
+            if not stopping.is_set():
+                self._signalled_at = loop.time() - lag.seconds
+                stopping.set()
+
+        loop.add_signal_handler(signal.SIGTERM, on_stop_signal)
+        loop.add_signal_handler(signal.SIGINT, on_stop_signal)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         kernel = self._build_services()
         async with kernel_entrypoint(kernel, loop, STOP_TIMEOUT_S):
@@ -259,23 +268,21 @@
         owner, entry = kernel.get("owner"), kernel.get("entry")
         self._log.event("leaving", "node is shutting down", in_flight=entry.in_flight)
         quiet_since = started_at
-        max_duration_s = self._settings.bounds.grace_s - GRACE_MARGIN_S
-        ends_at = started_at + max_duration_s - QUIET_PERIOD_S
+        signalled_at = started_at if self._signalled_at is None else self._signalled_at
+        exits_at = signalled_at + self._settings.bounds.grace_s - GRACE_MARGIN_S
+        ends_at = exits_at - QUIET_PERIOD_S
         entry.drain(ends_at)
         owner.drain(ends_at)
         kernel.get("peers").broadcast_load()
         pacer = kernel.get("outflow")
-        while (elapsed := loop.time() - started_at) < max_duration_s:
+        while (now := loop.time()) < exits_at:
             if not (owner.idle and pacer.idle and entry.idle):
-                quiet_since = loop.time()
-            quiet = loop.time() - quiet_since > IDLE_CHECK_INTERVAL_S
-            if (
-                elapsed > MIN_SHUTDOWN_S
-                and quiet
-                or elapsed > max_duration_s - QUIET_PERIOD_S
-            ):
+                quiet_since = now
+            quiet_s = now - quiet_since
+            may_exit = now - started_at > MIN_SHUTDOWN_S
+            if may_exit and quiet_s > IDLE_CHECK_INTERVAL_S or now > ends_at:
                 entry.close()
-            if elapsed > MIN_SHUTDOWN_S and loop.time() - quiet_since > QUIET_PERIOD_S:
+            if may_exit and quiet_s > QUIET_PERIOD_S:
                 return
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
         if not (owner.idle and entry.idle):
--- a/ragwortferry/mesh/tests/test_planned_stop.py
+++ b/ragwortferry/mesh/tests/test_planned_stop.py
@@ -228,3 +228,22 @@
 
     config = a_config_with_routes("safe" if method == "GET" else "unsafe", 2)
     run_scenario(scenario, config=config)
+
+
+def test_node_that_was_suspended_when_the_signal_came_ends_in_time(run_scenario):
+    """Guards against requests that are accepted for a time after the kill."""
+
+    async def scenario(mesh):
+        stopping = mesh.machines[0]
+        for machine in mesh.machines:
+            machine.upstream.service_time_s = 0.4
+        pressing = _Pressing(mesh, stopping, "POST", 12)
+        await mesh.wait_until(lambda: len(pressing.statuses) > 12)
+        stopping.process.send_signal(signal.SIGSTOP)
+        end = asyncio.create_task(pressing.stop())
+        await asyncio.sleep(1.5)
+        stopping.process.send_signal(signal.SIGCONT)
+        assert await end < GRACE_S
+        assert not pressing.cut
+
+    run_scenario(scenario, config=a_config_with_routes("unsafe", 2))
--- a/ragwortferry/tests/mesh_builders.py
+++ b/ragwortferry/tests/mesh_builders.py
@@ -158,6 +158,11 @@
                 callback(*args)
         self._now = end
 
+    def resume_at(self, now: float) -> None:
+        """Run the callbacks that became due while the process was suspended."""
+        self._now = now
+        self.run_until(now)
+
 
 def a_pacer(mbps: float = 1000.0) -> EgressPacer:
     """Return an egress pacer on its own manual loop."""
