Refuse requests that a stopping process would abort

Callers saw, of `ragwortferry run`: after a stop signal, payments whose deadlines lay after the end of draining were passed on, ran, and were cut without an answer when `drain_s` had passed.

Cause: the entry compared a deadline with nothing; only the number of requests in flight bounded the stop. With the default of an hour it takes a deadline of an hour, with a short `drain_s` any.

Evidence: `drain_s` 2, a payment of 6 s sent after the signal: broken connection, one run.

Change: after the signal the entry refuses, as not run, what is due after the end of draining.

--- a/ragwortferry/composition.py
+++ b/ragwortferry/composition.py
@@ -101,7 +101,7 @@
             raise SourceError(f"no version can be enforced: {reader.problem}")
         if kernel.failed.is_set():
             return
-        kernel.get("drain").begin("signal")
+        kernel.get("drain").begin_shutdown(self._settings.leave_s)
         drained = asyncio.Event()
         kernel.spawn(self._drain(kernel, drained), "drain")
         await wait_any(drained, self._stop_now, kernel.failed)
--- a/ragwortferry/requests/drain.py
+++ b/ragwortferry/requests/drain.py
@@ -21,6 +21,7 @@
         self._log = log
         self._drain_s = drain_s
         self._reason = ""
+        self._ends_at = float("inf")
         self.in_flight = InFlightCounter()
 
     @property
@@ -28,6 +29,11 @@
         """Return whether the instance drains: its target must get no new requests."""
         return bool(self._reason)
 
+    @property
+    def ends_at(self) -> float:
+        """Return the loop time at which requests in flight are aborted, if ever."""
+        return self._ends_at
+
     async def start(self) -> None:
         """Watch the entry of this instance in the instance list."""
         self._members.add_listener(self._check_instance_list)
@@ -54,6 +60,15 @@
             self._reason = reason
             self._log.event("leaving", "instance is draining", reason=reason)
 
+    def begin_shutdown(self, leave_s: float) -> None:
+        """Start draining and set the time at which requests in flight are aborted.
+
+        :param leave_s: seconds until :meth:`wait_idle` is called.
+        """
+        now = asyncio.get_running_loop().time()
+        self._ends_at = now + leave_s + self._drain_s
+        self.begin("signal")
+
     async def wait_idle(self) -> bool:
         """Wait until no request is in flight; return ``False`` after ``drain_s``."""
         try:
--- a/ragwortferry/requests/entry.py
+++ b/ragwortferry/requests/entry.py
@@ -99,6 +99,9 @@
         route = self._match_route(snapshot, request)
         record.policy = policy = _policy(snapshot, route)
         deadline = arrived + timeout_of(request.headers, route.timeout_s)
+        if deadline > self._drain.ends_at:
+            detail = "the instance stops before the deadline of the request"
+            raise RequestError(ErrorKind.LEAVING, detail)
         body = await self._read_body(request, deadline)
         attempt = Attempt(
             "",
