--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -57,6 +57,9 @@
 BACKLOG = "ragwortferry/http1/tests/test_backlog.py"
 MESH_STATE = "ragwortferry/mesh/tests/test_state.py"
 ACCEPTED = "ragwortferry/platform/tests/test_accepted_entries.py"
+SERVER = "ragwortferry/http1/tests/test_server.py"
+STOP = "ragwortferry/mesh/tests/test_planned_stop.py"
+PROCESS_STOP = "ragwortferry/requests/tests/test_planned_stop.py"
 EXTREME = "ragwortferry/platform/tests/test_extreme_configurations.py"
 FAULTY = "ragwortferry/mesh/tests/test_faulty_responses.py"
 VERSION_WATCH = "ragwortferry/mesh/tests/test_version_watch.py"
@@ -739,6 +742,62 @@
         "pass",
         f"{VERSION_WATCH}::test_version_that_is_known_and_not_enforced_is_logged",
     ),
+    Mechanism(
+        "planned stop: refusal by the entry",
+        "ragwortferry/mesh/entry.py",
+        "if context.deadline > self._ends_at:",
+        "if False:",
+        f"{STOP}::test_stopping_node_refuses_requests_that_are_due_after_its_end",
+    ),
+    Mechanism(
+        "planned stop: refusal by the owner",
+        "ragwortferry/mesh/owner.py",
+        "if attempt.deadline > self._ends_at:",
+        "if False:",
+        f"{MESH_OWNER}::test_leaving_owner_accepts_no_request_that_it_cannot_finish",
+    ),
+    Mechanism(
+        "planned stop: nothing behind an announced close",
+        "ragwortferry/http1/server.py",
+        "return self.last is not None and self.last.close_after",
+        "return False",
+        f"{STOP}::test_stopping_node_passes_on_no_request_behind_an_announced_close",
+    ),
+    Mechanism(
+        "planned stop: wait for callers that read slowly",
+        "ragwortferry/http1/server.py",
+        "return not self.held_bytes and",
+        "return",
+        f"{STOP}::test_stopping_node_waits_for_a_caller_that_reads_slowly",
+    ),
+    Mechanism(
+        "planned stop: wait for requests that are being read",
+        "ragwortferry/http1/server.py",
+        "return self._request_started_at is not None",
+        "return False",
+        f"{STOP}::test_stopping_node_waits_for_the_rest_of_a_body",
+    ),
+    Mechanism(
+        "planned stop: close only behind the rest of a request",
+        "ragwortferry/http1/server.py",
+        "self.close_after |= not connection.reading",
+        "self.close_after = True",
+        f"{SERVER}::test_draining_server_reads_the_rest_of_a_request_before_it_closes",
+    ),
+    Mechanism(
+        "planned stop: grace time from the signal",
+        "ragwortferry/mesh/node.py",
+        "loop.time() - lag.seconds",
+        "loop.time()",
+        f"{STOP}::test_node_that_was_suspended_when_the_signal_came_ends_in_time",
+    ),
+    Mechanism(
+        "planned stop: refusal by an entry of ragwortferry run",
+        "ragwortferry/requests/entry.py",
+        "if deadline > self._drain.ends_at:",
+        "if False:",
+        f"{PROCESS_STOP}::test_stopping_process_refuses_requests_that_it_would_abort",
+    ),
 ]
 
 
--- a/ragwortferry/mesh/tests/test_planned_stop.py
+++ b/ragwortferry/mesh/tests/test_planned_stop.py
@@ -101,6 +101,26 @@
     run_scenario(scenario, config=a_config_with_routes("unsafe", 5))
 
 
+@pytest.mark.parametrize("deadline_ms", [10_000, None])
+def test_stopping_node_refuses_requests_that_are_due_after_its_end(
+    run_scenario, deadline_ms
+):
+    """Guards against requests that are accepted late and cut at the end."""
+
+    async def scenario(mesh):
+        stopping = mesh.machines[0]
+        caller = await PipeliningCaller.connect(stopping)
+        end = await _begin_stop(mesh, stopping)
+        caller.send("POST", "/panels/1", "late", deadline_ms)
+        status, headers = await caller.read_head()
+        assert status == 503 and float(headers["retry-after"]) > 0
+        assert not mesh.count_runs("late")
+        assert await end == 0
+        caller.close()
+
+    run_scenario(scenario, config=a_config_with_routes("unsafe", 10))
+
+
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_request_from_before_the_signal_that_cannot_end_is_answered(
     run_scenario, method
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -108,19 +108,21 @@
         method: str,
         path: str,
         request_id: str,
-        deadline_ms: int,
+        deadline_ms: int | None,
         length: int = 0,
     ) -> None:
         """Send the head of a request, behind those that have no response yet.
 
+        :param deadline_ms: value of the header of the deadline, ``None`` to omit it.
         :param length: length of the body, which :meth:`send_body` sends.
         """
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: boards.example\r\n"
-            f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
-            f"Content-Length: {length}\r\n\r\n"
+            f"X-Request-Id: {request_id}\r\nContent-Length: {length}\r\n"
         )
-        self._writer.write(head.encode())
+        if deadline_ms is not None:
+            head += f"X-Deadline-Ms: {deadline_ms}\r\n"
+        self._writer.write(head.encode() + b"\r\n")
 
     def send_body(self, data: bytes) -> None:
         """Send a part of the body of the last request."""
