Let the soak pipeline requests, with bodies that come late

Four callers now send up to 40 requests on a connection, some after a pause, bodies after a pause of their own, and exports take 0.1 s, so that responses end out of order.

--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -40,6 +40,8 @@
         response, 0 if it did not.
     :param ended: whether the caller has stopped waiting.
     :param truncated: whether the response broke off.
+    :param behind_truncated: whether this or an earlier response on the connection
+        broke off.
     :param limited: whether the response named a limit of its upstream.
     :param leaving: whether the response said that its upstream is leaving.
     """
@@ -61,6 +63,7 @@
     disconnected_at: float = 0.0
     ended: bool = False
     truncated: bool = False
+    behind_truncated: bool = False
     limited: bool = False
     leaving: bool = False
 
@@ -137,7 +140,7 @@
             "at most as many attempts as allowed", f"{run_count}: {call}"
         )
     unanswered = call.ended and call.status == 0 and not call.disconnected_at
-    broken_off = endless and call.truncated
+    broken_off = endless and call.truncated or call.behind_truncated
     if unanswered and run_count and not call.killed and not broken_off:
         findings.record_violation("a request that runs gets an answer", call)
 
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -29,6 +29,7 @@
 from benchmarks.crashers import Crasher, check_crashers
 from benchmarks.delayed import DelayedActions
 from benchmarks.figures import Figures, Sample, second_of, write_figures
+from benchmarks.pipelined import run_pipelining_caller
 from benchmarks.promises import Call, Findings, check_calls, check_versions
 from benchmarks.statements import Episode, check_statements
 from ragwortferry.tests.invalid_entries import INVALID_ENTRIES
@@ -40,10 +41,11 @@
 ZONES = ("a", "b", "c")
 # Every fourth machine runs the second service.
 SERVICES = ("tablero", "tablero", "tablero", "archivo")
-EXPORT_BYTES = 40_000
+EXPORT_BYTES, EXPORT_TIME_S = 40_000, 0.1
 # Ranges of the pauses between faults and of their durations.
 FAULT_PAUSE_RANGE_S, FAULT_DURATION_RANGE_S = (0.2, 0.8), (0.3, 2.5)
 CALLERS, CALL_PAUSE_S = 10, 0.02
+PIPELINING_CALLERS = 4
 # Fraction of requests whose caller disconnects early, and after which delay.
 DISCONNECT_FRACTION, DISCONNECT_DELAY_RANGE_S = 0.04, (0.005, 0.3)
 DEADLINES_MS = (600, 1000, 2000)
@@ -124,6 +126,7 @@
 
     def __init__(self, mesh: Mesh, seed: int):
         self.mesh = mesh
+        self.seed = seed
         self.rng = random.Random(seed)
         self._load_rng = random.Random(seed + 1)
         self.findings = Findings()
@@ -159,6 +162,7 @@
             machine = await self.mesh.add(service, zone, seeds=seeds)
             if service == "archivo":
                 machine.upstream.response_bytes = EXPORT_BYTES
+                machine.upstream.service_time_s = EXPORT_TIME_S
         await self.wait_ready()
 
     async def wait_ready(self) -> None:
@@ -310,20 +314,9 @@
     ) -> None:
         rng = self._load_rng
         machine = rng.choice(self.mesh.machines)
-        method, path, at_most_once = kind or rng.choice(REQUEST_KINDS)
         deadline_ms = rng.choice(DEADLINES_MS)
-        body = b"fee " + request_id.encode() if at_most_once else b""
-        path = path.format(request_id)
-        call = Call(
-            request_id,
-            machine.name,
-            machine.zone,
-            at_most_once,
-            (method, path, body),
-            time.monotonic(),
-            deadline_ms / 1000,
-        )
-        self.calls.append(call)
+        call = self.begin_call(request_id, machine, deadline_ms, kind)
+        method, path, body = call.sent
         disconnects = rng.random() < DISCONNECT_FRACTION
         max_wait_s = (
             rng.uniform(*DISCONNECT_DELAY_RANGE_S)
@@ -351,6 +344,35 @@
             call.disconnected_at = time.monotonic() if disconnects else 0.0
         except aiohttp.ClientError:
             call.status = 0
+        self.end_call(call)
+
+    def begin_call(
+        self,
+        request_id: str,
+        machine: Machine,
+        deadline_ms: int,
+        kind: tuple[str, str, bool] | None = None,
+    ) -> Call:
+        """Record a request that is sent now, and return it.
+
+        :param kind: one of ``REQUEST_KINDS``, a random one if it is ``None``.
+        """
+        method, path, at_most_once = kind or self._load_rng.choice(REQUEST_KINDS)
+        body = b"fee " + request_id.encode() if at_most_once else b""
+        call = Call(
+            request_id,
+            machine.name,
+            machine.zone,
+            at_most_once,
+            (method, path.format(request_id), body),
+            time.monotonic(),
+            deadline_ms / 1000,
+        )
+        self.calls.append(call)
+        return call
+
+    def end_call(self, call: Call) -> None:
+        """Record that the caller has stopped waiting for a request."""
         call.seconds = time.monotonic() - call.started_at
         self._record_disturbance(call)
         call.ended = True
@@ -708,6 +730,10 @@
         end = time.monotonic() + seconds
         loop = asyncio.get_running_loop()
         load = [loop.create_task(soak.run_caller(n, end)) for n in range(CALLERS)]
+        load += [
+            loop.create_task(run_pipelining_caller(soak, n, end))
+            for n in range(PIPELINING_CALLERS)
+        ]
         load += [
             loop.create_task(part(end))
             for part in (soak.sample, soak.check_while_running, soak.restart_crashed)
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -151,4 +151,4 @@
 
     def close(self) -> None:
         """Close the connection."""
-        self._writer.close()
+        self._writer.transport.abort()
