Notice settings that change while a node starts

Operators would see: a settings file that was changed within half a second after the start, by a SIGHUP in that time or by the file alone, was not read until it changed again.

Cause: the first check of the file took the time it found for that of the settings that were loaded.

Change: the time of the file is taken before the settings are loaded.

--- a/ragwortferry/mesh/node.py
+++ b/ragwortferry/mesh/node.py
@@ -74,6 +74,8 @@
 
     def __init__(self, path: Path):
         self._settings_path = path
+        # Taken before the settings are loaded, so that no later change is missed.
+        self._settings_mtime_ns = _mtime_ns(path)
         self._settings = load_node_settings(path)
         self._clock = HybridClock()
         context = LogContext(self._settings.name, self._settings.zone, self._clock)
@@ -81,7 +83,6 @@
         self._log = Log(context, "node")
         self._kernel = Kernel(self._log.component("kernel"))
         self._rng = random.Random(self._incarnation)
-        self._settings_mtime_ns = 0
         # Whether each peer known at the start was dialed at least once. Peers that are
         # added later do not make the node unready.
         self._initial_dials_done = False
@@ -322,11 +323,19 @@
         except OSError as error:
             self._log.error("cannot read status of settings file", error)
             return
-        if self._settings_mtime_ns and mtime_ns != self._settings_mtime_ns:
+        if mtime_ns != self._settings_mtime_ns:
             self._reload()
         self._settings_mtime_ns = mtime_ns
 
 
+def _mtime_ns(path: Path) -> int:
+    """Return the modification time of a file, 0 if it cannot be read."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
 def _boottime() -> float:
     """Return the time of a monotonic clock that includes suspensions, in seconds."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
