--- a/benchmarks/pipelined.py
+++ b/benchmarks/pipelined.py
@@ -42,8 +42,6 @@
         pending: deque[Call] = deque()
         reading = asyncio.create_task(_read(soak, caller, pending))
         for _ in range(rng.randint(1, MAX_REQUESTS)):
-            if reading.done() and pending:
-                break
             number += 1
             call = soak.begin_call(f"p{worker}-{number}", machine, deadline_ms)
             pending.append(call)
@@ -53,6 +51,8 @@
                 await asyncio.sleep(rng.uniform(*BODY_PAUSE_RANGE_S))
                 caller.send_body(body)
             if reading.done():
+                if not reading.result():
+                    break
                 reading = asyncio.create_task(_read(soak, caller, pending))
             if rng.random() < PAUSE_FRACTION:
                 await asyncio.sleep(rng.uniform(*PAUSE_RANGE_S))
@@ -70,8 +70,8 @@
         return
 
 
-async def _read(soak: "Soak", caller: PipeliningCaller, pending: deque[Call]) -> None:
-    """Read a response for each pending request, until there is none.
+async def _read(soak: "Soak", caller: PipeliningCaller, pending: deque[Call]) -> bool:
+    """Read a response for each pending request; return whether all have come.
 
     If a response breaks off, the connection ends with it, and so do those behind it.
     """
@@ -80,7 +80,7 @@
         try:
             status, headers = await caller.read_head()
         except (asyncio.IncompleteReadError, ConnectionError):
-            return
+            return False
         call.signature = headers.get("x-response-signature", "")
         call.echoed_id = headers.get("x-request-id", "")
         call.truncated = True
@@ -90,6 +90,7 @@
             # Responses without end have no length.
             for item in pending:
                 item.behind_truncated = True
-            return
+            return False
         call.status, call.truncated = status, False
         soak.end_call(pending.popleft())
+    return True
