Give a socket to its transport also if the connection is cancelled

Up to uvloop 0.17 a cancelled `create_connection` closes the descriptor of the socket that it was given, but the socket object does not know. When it is collected or closed, it closes whatever has the number by then, such as another connection that the loop still polls.

--- a/ragwortferry/utils/loop.py
+++ b/ragwortferry/utils/loop.py
@@ -1,4 +1,4 @@
-"""Event loop: uvloop without resolver threads."""
+"""Event loop: uvloop without resolver threads, safe for cancelled connections."""
 
 __all__ = ["NoResolverLoop"]
 
@@ -17,6 +17,21 @@
     stay alive.
     """
 
+    async def create_connection(self, protocol_factory, *args, sock=None, **options):
+        """Create a transport; a socket that is given belongs to it from then on.
+
+        If this is cancelled, the base class has closed the descriptor and the socket
+        does not know: it would close that of another connection later.
+        """
+        try:
+            return await super().create_connection(
+                protocol_factory, *args, sock=sock, **options
+            )
+        except BaseException:
+            if sock is not None:
+                sock.detach()
+            raise
+
     async def sock_connect(self, sock: socket.socket, address: tuple) -> None:
         """Connect a non-blocking socket to a numeric address.
 
