--- a/ragwortferry/utils/tests/test_loop.py
+++ b/ragwortferry/utils/tests/test_loop.py
@@ -1,8 +1,10 @@
 """What the event loop does with descriptors."""
 
 import asyncio
+import contextlib
 import os
 import socket
+from pathlib import Path
 
 from ragwortferry.utils.loop import NoResolverLoop
 from ragwortferry.utils.sockets import Address, connected_socket
@@ -16,6 +18,19 @@
         loop.close()
 
 
+def test_loop_uses_no_io_uring():
+    """Guards against a process that aborts in a batch of changes of polled files."""
+
+    async def opened_files():
+        opened = []
+        for path in Path("/proc/self/fd").iterdir():
+            with contextlib.suppress(FileNotFoundError):
+                opened.append(os.readlink(path))
+        return opened
+
+    assert not [name for name in _run(opened_files) if "io_uring" in name]
+
+
 def test_cancelled_connection_closes_no_descriptor_of_another_one():
     """Guards against a process that aborts since a polled descriptor is closed."""
 
