--- a/ragwortferry/mesh/tests/test_planned_stop.py
+++ b/ragwortferry/mesh/tests/test_planned_stop.py
@@ -142,7 +142,7 @@
     run_scenario(scenario, config=config)
 
 
-def test_queued_request_that_cannot_start_before_the_end_is_refused(run_scenario):
+def test_queued_request_that_cannot_start_before_the_end_is_answered(run_scenario):
     """Guards against callers that are not told that their request has not run."""
 
     async def scenario(mesh):
