Take a response that was reset for incomplete, whatever the loop reports

Callers saw: of an upstream that crashed while it sent a response without a length, a 200 with a part of the body, framed as whole.

Cause: if a reset comes right after data, uvloop 0.17 reports the end of the input, not an error.

Change: at the end of the input the client asks the socket for a pending error, and completes a response that the end of its connection delimits only if there is none.

--- a/benchmarks/pipelined.py
+++ b/benchmarks/pipelined.py
@@ -42,6 +42,8 @@
         pending: deque[Call] = deque()
         reading = asyncio.create_task(_read(soak, caller, pending))
         for _ in range(rng.randint(1, MAX_REQUESTS)):
+            if reading.done() and not reading.result():
+                break
             number += 1
             call = soak.begin_call(f"p{worker}-{number}", machine, deadline_ms)
             pending.append(call)
@@ -50,15 +52,15 @@
             if body:
                 await asyncio.sleep(rng.uniform(*BODY_PAUSE_RANGE_S))
                 caller.send_body(body)
-            if reading.done():
-                if not reading.result():
-                    break
+            if reading.done() and reading.result():
                 reading = asyncio.create_task(_read(soak, caller, pending))
             if rng.random() < PAUSE_FRACTION:
                 await asyncio.sleep(rng.uniform(*PAUSE_RANGE_S))
         await _wait(reading, deadline_ms / 1000 + EXTRA_WAIT_S)
         caller.close()
+        broke_off = any(call.truncated for call in pending)
         for call in pending:
+            call.behind_truncated = broke_off
             soak.end_call(call)
 
 
@@ -88,8 +90,6 @@
             call.body = await caller.reader.readexactly(int(headers["content-length"]))
         except (asyncio.IncompleteReadError, ConnectionError, KeyError):
             # Responses without end have no length.
-            for item in pending:
-                item.behind_truncated = True
             return False
         call.status, call.truncated = status, False
         soak.end_call(pending.popleft())
--- a/ragwortferry/http1/client.py
+++ b/ragwortferry/http1/client.py
@@ -22,7 +22,7 @@
 import httptools
 
 from ragwortferry.http1.messages import BODYLESS_STATUSES, Headers, get_header
-from ragwortferry.utils.sockets import Address, connected_socket
+from ragwortferry.utils.sockets import Address, connected_socket, was_reset
 
 # How long an idle connection is kept if the server sends no Keep-Alive timeout.
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -196,7 +196,8 @@
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the end of the connection."""
         if self._until_eof and self._sink is not None:
-            self._complete()
+            if not was_reset(self._transport):
+                self._complete()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/ragwortferry/utils/sockets.py
+++ b/ragwortferry/utils/sockets.py
@@ -1,6 +1,6 @@
 """TCP sockets for IP addresses, created without the resolver and its threads."""
 
-__all__ = ["Address", "connect", "connected_socket", "listen"]
+__all__ = ["Address", "connect", "connected_socket", "listen", "was_reset"]
 
 import asyncio
 import socket
@@ -73,3 +73,13 @@
     except BaseException:
         sock.close()
         raise
+
+
+def was_reset(transport: asyncio.Transport) -> bool:
+    """Return whether the peer has reset a connection whose end was just reported.
+
+    The event loop reports the end of the input for a reset too if it has read all data
+    before it.
+    """
+    sock = transport.get_extra_info("socket")
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
