Fail a response of a target without a length whose connection is reset

Cause: the HTTP library completes such a response whenever its connection ends, with an error or not, and the event loop reports a reset right after data as the end of the input.

Change: the connections of the pools use a protocol that asks the socket for a pending error when the input ends, and fails the body that is being read if the connection ended with one. A test with real processes breaks off responses without a length, buffered and streamed ones.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -26,6 +26,7 @@
 MEMBERS = "ragwortferry/spread/tests/test_members.py"
 STATUS = "ragwortferry/spread/tests/test_status.py"
 REQUESTS = "ragwortferry/requests/tests/test_processes.py"
+RESET_RESPONSES = "ragwortferry/requests/tests/test_reset_responses.py"
 ENTRY = "ragwortferry/requests/tests/test_entry.py"
 SLOTS = "ragwortferry/requests/tests/test_slots.py"
 BALANCE = "ragwortferry/requests/tests/test_balance.py"
@@ -262,7 +263,22 @@
         "ragwortferry/requests/responses.py",
         "        _abort(request)\n        return response",
         "        await response.write_eof()\n        return response",
-        f"{REQUESTS}::test_a_truncated_response_never_looks_complete[{3 * 2**20}]",
+        f"{REQUESTS}::test_a_truncated_response_never_looks_complete"
+        f"[{3 * 2**20}-length]",
+    ),
+    Mechanism(
+        "reset connection fails a response without a length",
+        "ragwortferry/requests/pool.py",
+        "        if exc is None and self._reset_by_peer:",
+        "        if False:",
+        f"{RESET_RESPONSES}::test_response_without_length_that_is_reset_is_not_complete",
+    ),
+    Mechanism(
+        "error of a connection fails a response without a length",
+        "ragwortferry/requests/pool.py",
+        "        if exc is not None and body is not None and not body.is_eof():",
+        "        if False:",
+        f"{RESET_RESPONSES}::test_response_without_length_that_is_reset_is_not_complete",
     ),
     Mechanism(
         "slot share of a route",
--- a/ragwortferry/requests/pool.py
+++ b/ragwortferry/requests/pool.py
@@ -3,9 +3,15 @@
 __all__ = ["Pool", "PooledResponse"]
 
 import asyncio
+import errno
+import functools
+import os
 from dataclasses import dataclass
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from ragwortferry.utils.sockets import was_reset
 
 IDLE_TIMEOUT_S = 10.0
 
@@ -25,6 +31,40 @@
             self.closing = loop.create_task(self.session.close())
 
 
+class _ResponseProtocol(ResponseHandler):
+    """Client protocol that fails a response whose connection ends with an error.
+
+    The base class completes a response without a length whenever its connection ends.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop)
+        self._reset_by_peer = False
+
+    def eof_received(self) -> None:
+        """Check whether the end of the input is a reset."""
+        self._reset_by_peer = was_reset(self.transport)
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the response in flight if the connection did not end in order."""
+        if exc is None and self._reset_by_peer:
+            exc = ConnectionResetError(errno.ECONNRESET, os.strerror(errno.ECONNRESET))
+        body = self._payload
+        if exc is not None and body is not None and not body.is_eof():
+            body.set_exception(aiohttp.ClientPayloadError(f"connection lost: {exc}"))
+        super().connection_lost(exc)
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Connector whose connections use ``_ResponseProtocol``."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        # There is no public option for the protocol.
+        self._factory = functools.partial(_ResponseProtocol, loop=self._loop)
+
+
 class PooledResponse:
     """HTTP response that holds a connection of a pool until it is closed."""
 
@@ -62,11 +102,9 @@
     def _new_generation(self) -> _Generation:
         options = {"limit": self._limit, "local_addr": self._local_address}
         if self._force_close:
-            connector = aiohttp.TCPConnector(force_close=True, **options)
+            connector = _Connector(force_close=True, **options)
         else:
-            connector = aiohttp.TCPConnector(
-                keepalive_timeout=IDLE_TIMEOUT_S, **options
-            )
+            connector = _Connector(keepalive_timeout=IDLE_TIMEOUT_S, **options)
         session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
--- a/ragwortferry/requests/tests/test_processes.py
+++ b/ragwortferry/requests/tests/test_processes.py
@@ -108,14 +108,17 @@
 
             await asyncio.gather(*(one(number) for number in range(80)))
             size = 3 * MEBIBYTE
-            response = await fleet.call(ENTRY, "GET", f"/tablero/x?bytes={size}")
-            assert len(response.body) == size
+            for framing in ("", "&unframed=1"):
+                path = f"/tablero/x?bytes={size}{framing}"
+                response = await fleet.call(ENTRY, "GET", path)
+                assert len(response.body) == size
 
     run(scenario())
 
 
+@pytest.mark.parametrize("framing", ["", "&unframed=1"], ids=["length", "unframed"])
 @pytest.mark.parametrize("size", [1000, 3 * MEBIBYTE])
-def test_a_truncated_response_never_looks_complete(tmp_path, size):
+def test_a_truncated_response_never_looks_complete(tmp_path, size, framing):
     """Break off responses in the middle, buffered and streamed ones.
 
     The caller must get an error response or a broken connection, not a short body that
@@ -126,8 +129,9 @@
         async with running(tmp_path, 2, zones=1) as fleet:
             for node in fleet.nodes.values():
                 node.target.behaviour = Behaviour(cut=True)
+            path = f"/tablero/x?bytes={size}{framing}"
             try:
-                response = await fleet.call(ENTRY, "GET", f"/tablero/x?bytes={size}")
+                response = await fleet.call(ENTRY, "GET", path)
             except aiohttp.ClientError:
                 return
             assert response.status == 502
--- a/standins/target.py
+++ b/standins/target.py
@@ -11,6 +11,9 @@
 import msgspec
 from aiohttp import web
 
+from standins.resets import reset
+
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 STREAM_CHUNK = b"x" * 16_384
 REQUEST_ID_HEADER = "X-Request-Id"
 REFUSED_HEADER = {"X-Target-Refused": "not-run"}
@@ -89,7 +92,8 @@
     """Serves a target over HTTP.
 
     Query parameters of a request: ``delay_ms``, its service time; ``bytes``, the size
-    of a streamed response, and ``pause_ms``, the pause after each chunk of it;
+    of a streamed response, ``pause_ms``, the pause after each chunk of it, and
+    ``unframed``, to delimit it by the end of its connection;
     ``depth``, the length of a chain of calls through the proxy; ``fail``, to reset the
     connection at the end of the chain.
     """
@@ -158,6 +162,8 @@
         if _depth(request):
             return await self._call_next(request)
         size = int(request.query.get("bytes", 0))
+        if size and "unframed" in request.query:
+            return await self._send_unframed(request, size)
         if size:
             return await self._stream(request, size)
         content = {
@@ -199,6 +205,16 @@
         await response.write_eof()
         return response
 
+    async def _send_unframed(self, request: web.BaseRequest, size: int):
+        truncate = self.target.behaviour.cut
+        sent = size // 2 if truncate else size
+        request.transport.write(UNFRAMED_HEAD + b"x" * sent)
+        if truncate:
+            reset(request.transport)
+        else:
+            request.transport.close()
+        await asyncio.Event().wait()  # The end of the connection cancels the handler.
+
     async def _control(self, request: web.BaseRequest) -> web.Response:
         target = self.target
         if request.path == "/control/behaviour":
