Reset the connection of an HTTP/1.0 caller whose response breaks off

Callers of `ragwortferry run` that speak HTTP/1.0 saw: of a response that the target broke off, the first part, ended in order. For them the end of the connection is the end of the body.

Cause: the proxy aborted the transport, which closes the socket; without unread input that is an orderly end.

Change: the socket lingers for no time before it is closed, so the caller gets a reset.

Nothing that a node loads is changed.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -273,6 +273,14 @@
         "        if False:",
         f"{RESET_RESPONSES}::test_response_without_length_that_is_reset_is_not_complete",
     ),
+    Mechanism(
+        "reset of an HTTP/1.0 caller after a truncated response",
+        "ragwortferry/requests/responses.py",
+        "        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)\n",
+        "",
+        f"{RESET_RESPONSES}::test_truncated_response_to_an_http_1_0_caller_ends_with_a"
+        "_reset",
+    ),
     Mechanism(
         "error of a connection fails a response without a length",
         "ragwortferry/requests/pool.py",
--- a/ragwortferry/requests/responses.py
+++ b/ragwortferry/requests/responses.py
@@ -3,6 +3,9 @@
 __all__ = ["RelayResult", "error_response", "relay", "set_proxy_headers"]
 
 import asyncio
+import contextlib
+import socket
+import struct
 from collections.abc import MutableMapping
 from dataclasses import dataclass
 
@@ -25,6 +28,8 @@
 
 NO_BODY_STATUSES = (204, 304)
 MAX_BUFFERED_BYTES = 65_536
+# Closing a socket that lingers for no time resets its connection.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,5 +154,14 @@
 
 
 def _abort(request: web.BaseRequest) -> None:
-    if request.transport is not None:
-        request.transport.abort()
+    """Reset the caller's connection.
+
+    Without the reset, an HTTP/1.0 caller sees the end of the body.
+    """
+    transport = request.transport
+    if transport is None:
+        return
+    with contextlib.suppress(OSError):  # The caller has disconnected.
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
--- a/ragwortferry/requests/tests/test_reset_responses.py
+++ b/ragwortferry/requests/tests/test_reset_responses.py
@@ -6,9 +6,13 @@
 
 import aiohttp
 import pytest
+from yarl import URL
 
 from ragwortferry.requests.pool import Pool
+from ragwortferry.tests.builders import run
+from ragwortferry.tests.fleets import running
 from ragwortferry.utils.loop import NoResolverLoop
+from standins.target import Behaviour
 
 LINGER_NONE = struct.pack("ii", 1, 0)
 HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
@@ -77,3 +81,24 @@
 def test_response_that_ends_before_its_length_is_not_complete(size, head, reset):
     with pytest.raises(aiohttp.ClientError):
         read_response(head, size, reset)
+
+
+def test_truncated_response_to_an_http_1_0_caller_ends_with_a_reset(tmp_path):
+    """Guards against a truncation that the caller takes for the end of the body."""
+
+    async def scenario():
+        async with running(tmp_path, 1, zones=1) as fleet:
+            node = fleet.nodes["tablero-1"]
+            node.target.behaviour = Behaviour(cut=True)
+            url = URL(node.url)
+            reader, writer = await asyncio.open_connection(url.host, url.port)
+            path = f"/tablero/x?bytes={3 * 2**20}"
+            try:
+                writer.write(f"GET {path} HTTP/1.0\r\n\r\n".encode())
+                with pytest.raises(ConnectionResetError):
+                    async with asyncio.timeout(5):
+                        await reader.read()
+            finally:
+                writer.close()
+
+    run(scenario())
