Show with two tests that silent idle links delay a version

Users' bounds: 2 s after the acknowledgement, and 3 s after connections went silent, from when on the node counts as in touch.

No logic is changed.

--- a/ragwortferry/mesh/tests/test_severed.py
+++ b/ragwortferry/mesh/tests/test_severed.py
@@ -5,13 +5,16 @@
 
 import pytest
 
+from ragwortferry.mesh.reader import ROLE_CHECK_INTERVAL_S, WATCH_PAUSE_S
 from ragwortferry.tests.mesh_builders import a_config
 from standins.callers import Callers
-from standins.network import Network
+from standins.network import Fault, Network
 
 LAYOUT = [("tablero", zone) for zone in "abab"]
 # The users' bounds of a change of the configuration and of a departure.
 CONFIG_APPLY_S, DRAIN_S = 2.0, 2.0
+# A node whose connections were reset or went silent is in touch again after this time.
+STABLE_WINDOW_S = 3.0
 DEADLINE_S = 1.0
 
 
@@ -54,3 +57,43 @@
 
     config = _config("r7", route_type)
     run_scenario(scenario, layout=LAYOUT, config=config, network=Network())
+
+
+def _all_enforce(mesh, version: int) -> bool:
+    events = [mesh.events(machine, "enforced") for machine in mesh.machines]
+    return all(found and found[-1]["version"] == version for found in events)
+
+
+async def _settle(mesh) -> None:
+    """Spread a version, after which only the readers of the zone watch the store."""
+    await mesh.put_config(_config("r8", "safe"))
+    await mesh.wait_until(lambda: _all_enforce(mesh, 8))
+    await asyncio.sleep(WATCH_PAUSE_S + ROLE_CHECK_INTERVAL_S)
+
+
+def test_idle_links_that_go_silent_hide_no_change(run_scenario):
+    """Guards against a version that waits until a silent link is given up."""
+
+    async def scenario(mesh):
+        await _settle(mesh)
+        for machine in mesh.machines:
+            machine.link_proxy.silence_open()
+        await mesh.put_config(_config("r9", "safe"))
+        await asyncio.sleep(STABLE_WINDOW_S)
+        assert _all_enforce(mesh, 9)
+
+    run_scenario(scenario, layout=[("tablero", "a")] * 6, network=Network())
+
+
+def test_nodes_cut_off_from_all_others_take_versions_from_the_store(run_scenario):
+    """Guards against a version that waits until a silent link is given up."""
+
+    async def scenario(mesh):
+        await _settle(mesh)
+        for machine in mesh.machines:
+            machine.link_proxy.fault = Fault.SILENT
+        await mesh.put_config(_config("r9", "safe"))
+        await asyncio.sleep(CONFIG_APPLY_S)
+        assert _all_enforce(mesh, 9)
+
+    run_scenario(scenario, layout=[("tablero", "a")] * 6, network=Network())
