Read the store at once when no other node of the zone can be heard

Cause, shown by tests: a node that does not read the store relies on the preceding nodes of its zone as long as its links to them are open. If the links go silent without a reset, an idle one is given up only 3 s after a ping that is sent after 1 s; then the node dials again or reads the store. A version that comes just after the silence is in force 3.3 to 3.8 s later on a quiet machine. Class: one timeout for two questions, whether to end a link and whether to rely on it.

Links are given up as before. One silent reader alone changes nothing: the other one is heard.

--- a/ragwortferry/mesh/links/peers.py
+++ b/ragwortferry/mesh/links/peers.py
@@ -32,7 +32,7 @@
     Subscribe,
     Taken,
 )
-from ragwortferry.mesh.links.heartbeat import IDLE_TIMEOUT_S
+from ragwortferry.mesh.links.heartbeat import IDLE_PING_INTERVAL_S, IDLE_TIMEOUT_S
 from ragwortferry.mesh.links.link import Link
 from ragwortferry.mesh.links.peer import Peer, PendingAttempt
 from ragwortferry.mesh.links.relay import Relay
@@ -60,6 +60,9 @@
 # megabyte takes 1.4 s at 3 Mbit/s, and pongs queue behind it. At a higher bandwidth it
 # takes less.
 SLOW_NETWORK_TIMEOUT_S, SLOW_NETWORK_MBPS = 2.0, 3.0
+# An idle link counts as silent if its ping is unanswered for as long as a busy link
+# would stay open, but at most for this long.
+MAX_SILENT_PING_S = 1.0
 # An accepted link is closed if nothing is received for this long at all.
 ACCEPTED_TIMEOUT_S = 3.0
 # Shortest and longest interval between checks of the links that are due.
@@ -176,6 +179,12 @@
         dialed = [peer.link for peer in self._peers.values() if peer.link]
         return [*dialed, *self._accepted]
 
+    def is_silent(self, link: Link) -> bool:
+        """Return whether a pong on an idle link is overdue, before it is closed."""
+        silence_s = asyncio.get_running_loop().time() - link.last_received_at
+        ping_timeout_s = min(MAX_SILENT_PING_S, self._busy_timeout(link))
+        return silence_s > IDLE_PING_INTERVAL_S + ping_timeout_s
+
     @property
     def connected_count(self) -> int:
         """Return the number of peers with an open link that this node has dialed."""
--- a/ragwortferry/mesh/links/relay.py
+++ b/ragwortferry/mesh/links/relay.py
@@ -158,6 +158,15 @@
         preceding = order[: order.index(self._host)]
         return len(set(preceding) & set(candidates)) < HUBS_PER_ZONE
 
+    def is_severed(self, heard: Iterable[str]) -> bool:
+        """Return whether none of the preceding nodes of the zone can be heard.
+
+        :param heard: nodes that report the store as available over links that are
+            not silent.
+        """
+        order = self.zone_order
+        return set(order[: order.index(self._host)]).isdisjoint(heard)
+
     def _select_neighbours(self) -> list[str]:
         """Return the nodes to which this node keeps links for state.
 
--- a/ragwortferry/mesh/reader.py
+++ b/ragwortferry/mesh/reader.py
@@ -94,10 +94,13 @@
         """Return whether this node currently has to read the store."""
         if not self._state.ready:
             return not self._peers.awaiting_seed
-        candidates = {
-            link.host for link in self._peers.links if link.peer_store_available
-        }
-        return self._relay.is_reader(candidates)
+        links = [link for link in self._peers.links if link.peer_store_available]
+        if self._relay.is_reader(link.host for link in links):
+            return True
+        # A silent link is kept for longer than a version may take.
+        return self._relay.is_severed(
+            link.host for link in links if not self._peers.is_silent(link)
+        )
 
     async def start(self) -> None:
         """Start to read and watch."""
