Send no chunks to HTTP/1.0 callers of nodes, and reset them on abort

Callers of a node that speak HTTP/1.0 saw the sizes of chunks in the body of a response of unknown length, and of one that broke off a part that ended in order.

Cause: the server chose chunked transfer encoding whatever the version of the request (RFC 9112, 6.1 forbids that), and aborting a transport is an orderly end if there is no unread input.

Change: for HTTP/1.0 a body of unknown length ends with the connection, whose close is announced; an abort resets the connection.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -276,7 +276,7 @@
     Mechanism(
         "reset of an HTTP/1.0 caller after a truncated response",
         "ragwortferry/requests/responses.py",
-        "        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)\n",
+        "        set_no_linger(request.transport)\n",
         "",
         f"{RESET_RESPONSES}::test_truncated_response_to_an_http_1_0_caller_ends_with_a"
         "_reset",
--- a/ragwortferry/http1/messages.py
+++ b/ragwortferry/http1/messages.py
@@ -44,6 +44,7 @@
     :param target: request target (path and query) as it was sent.
     :param keep_alive: whether the caller allows further requests on the connection.
     :param arrived: loop time at which the first byte was read.
+    :param accepts_chunks: whether the caller understands chunked transfer encoding.
     """
 
     method: str
@@ -52,6 +53,7 @@
     body: bytes
     keep_alive: bool
     arrived: float
+    accepts_chunks: bool = True
 
     @property
     def path(self) -> str:
@@ -99,18 +101,24 @@
 
 
 def encode_response_head(
-    status: int, headers: Headers, length: int | None, close: bool
+    status: int,
+    headers: Headers,
+    length: int | None,
+    close: bool,
+    chunked: bool = True,
 ) -> bytes:
     """Return the encoded status line and headers of a response.
 
-    :param length: length of the body, ``None`` for chunked transfer encoding.
+    :param length: length of the body, ``None`` if it is unknown.
     :param close: whether the connection closes after the response.
+    :param chunked: whether a body of unknown length is sent in chunks; otherwise the
+        end of the connection delimits it.
     """
     lines = [f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Unknown')}"]
     lines += [f"{name}: {value}" for name, value in headers]
-    if length is None:
+    if length is None and chunked:
         lines.append("Transfer-Encoding: chunked")
-    elif status not in BODYLESS_STATUSES:
+    elif length is not None and status not in BODYLESS_STATUSES:
         lines.append(f"Content-Length: {length}")
     if close:
         lines.append("Connection: close")
--- a/ragwortferry/http1/server.py
+++ b/ragwortferry/http1/server.py
@@ -16,7 +16,7 @@
 from ragwortferry.http1.backlog import Backlog
 from ragwortferry.http1.messages import Headers, Request, encode_response_head
 from ragwortferry.utils.egress import EgressPacer, Stream
-from ragwortferry.utils.sockets import listen
+from ragwortferry.utils.sockets import listen, set_no_linger
 
 # Reading pauses while this many requests of a connection are pending; bounds memory.
 MAX_PIPELINED_REQUESTS = 64
@@ -32,6 +32,7 @@
 # Interval of the checks of a streamed response that waits for the network link or for
 # earlier responses.
 DRAIN_CHECK_INTERVAL_S = 0.02
+HTTP_1_0 = "1.0"
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 BAD_REQUEST, REQUEST_TIMEOUT, BODY_TOO_LARGE, HEADER_TOO_LARGE = 400, 408, 413, 431
@@ -92,9 +93,13 @@
     def start(self, status: int, headers: Headers, length: int | None) -> None:
         """Send the head of a streamed response.
 
-        :param length: length of the body, ``None`` for chunked transfer encoding.
+        :param length: length of the body, ``None`` if it is unknown. The body is then
+            sent in chunks or, for an HTTP/1.0 caller, ends with the connection.
         """
-        self.started, self._chunked = True, length is None
+        self.started = True
+        if length is None:
+            self._chunked = self.request.accepts_chunks
+            self.close_after |= not self._chunked
         self._head = status, headers, length
         if self.is_first:
             self.flush()
@@ -127,7 +132,8 @@
         if self._head is None:
             return
         self._update_close_after()
-        head, self._head = encode_response_head(*self._head, self.close_after), None
+        head = encode_response_head(*self._head, self.close_after, self._chunked)
+        self._head = None
         buffered, self._buffered = self._buffered, []
         self._connection.send(b"".join([head, *buffered]))
 
@@ -333,6 +339,7 @@
             b"".join(self._body),
             self._parser.should_keep_alive(),
             self._request_started_at or self._loop.time(),
+            self._parser.get_http_version() != HTTP_1_0,
         )
         self._reset_request()
         exchange = Exchange(self, request)
@@ -393,11 +400,15 @@
             self._reject(REQUEST_TIMEOUT)
 
     def abort(self) -> None:
-        """Abort the connection."""
+        """Reset the connection.
+
+        An orderly end would complete a response to an HTTP/1.0 caller.
+        """
         self._closing = True
         if self._stream:
             self._stream.drop()
         if self._transport:
+            set_no_linger(self._transport)
             self._transport.abort()
 
     def _reject(self, status: int) -> None:
--- a/ragwortferry/http1/tests/test_server.py
+++ b/ragwortferry/http1/tests/test_server.py
@@ -319,3 +319,54 @@
         assert server.pacer.idle
 
     _run_slow(scenario)
+
+
+def _run_http_1_0(handler, request: bytes, expected) -> None:
+    """Send a request to a server, and pass the reader of its response to a check."""
+
+    async def main():
+        server = Server(handler, "127.0.0.1", _free_port())
+        await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server._port)
+        try:
+            async with asyncio.timeout(10):
+                writer.write(request)
+                await expected(reader)
+        finally:
+            writer.close()
+            await server.stop()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("keep_alive", [b"", b"Connection: keep-alive\r\n"])
+def test_response_of_unknown_length_to_an_http_1_0_caller_has_no_chunks(keep_alive):
+    async def handler(exchange):
+        exchange.start(200, [], None)
+        exchange.write(b"a" * 1000)
+        exchange.write(b"b" * 1000)
+        exchange.finish()
+
+    async def expected(reader):
+        head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+        assert b"transfer-encoding" not in head.lower()
+        assert b"connection: close" in head.lower()
+        assert body == b"a" * 1000 + b"b" * 1000
+
+    _run_http_1_0(handler, b"GET /x HTTP/1.0\r\n" + keep_alive + b"\r\n", expected)
+
+
+def test_aborted_response_to_an_http_1_0_caller_ends_with_a_reset():
+    """Guards against a truncation that the caller takes for the end of the body."""
+
+    async def handler(exchange):
+        exchange.start(200, [], None)
+        exchange.write(b"a" * 1000)
+        await asyncio.sleep(0)
+        exchange.abort()
+
+    async def expected(reader):
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+
+    _run_http_1_0(handler, b"GET /x HTTP/1.0\r\n\r\n", expected)
--- a/ragwortferry/requests/responses.py
+++ b/ragwortferry/requests/responses.py
@@ -3,9 +3,6 @@
 __all__ = ["RelayResult", "error_response", "relay", "set_proxy_headers"]
 
 import asyncio
-import contextlib
-import socket
-import struct
 from collections.abc import MutableMapping
 from dataclasses import dataclass
 
@@ -25,11 +22,10 @@
     ZONE,
 )
 from ragwortferry.requests.messages import Policy, Reply
+from ragwortferry.utils.sockets import set_no_linger
 
 NO_BODY_STATUSES = (204, 304)
 MAX_BUFFERED_BYTES = 65_536
-# Closing a socket that lingers for no time resets its connection.
-NO_LINGER = struct.pack("ii", 1, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,10 +154,6 @@
 
     Without the reset, an HTTP/1.0 caller sees the end of the body.
     """
-    transport = request.transport
-    if transport is None:
-        return
-    with contextlib.suppress(OSError):  # The caller has disconnected.
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    transport.abort()
+    if request.transport is not None:
+        set_no_linger(request.transport)
+        request.transport.abort()
--- a/ragwortferry/utils/sockets.py
+++ b/ragwortferry/utils/sockets.py
@@ -1,15 +1,25 @@
 """TCP sockets for IP addresses, created without the resolver and its threads."""
 
-__all__ = ["Address", "connect", "connected_socket", "listen", "was_reset"]
+__all__ = [
+    "Address",
+    "connect",
+    "connected_socket",
+    "listen",
+    "set_no_linger",
+    "was_reset",
+]
 
 import asyncio
+import contextlib
 import socket
+import struct
 
 import msgspec
 
 # A connection fails if sent data stays unacknowledged for this long. Links detect
 # silence sooner, by their heartbeats.
 USER_TIMEOUT_MS = 3_000
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Address(msgspec.Struct, frozen=True, array_like=True):
@@ -83,3 +93,10 @@
     """
     sock = transport.get_extra_info("socket")
     return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+
+def set_no_linger(transport: asyncio.Transport) -> None:
+    """Let the connection of a transport end with a reset when it is aborted."""
+    sock = transport.get_extra_info("socket")
+    with contextlib.suppress(OSError):  # The peer has closed the connection.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
