Test when a node is severed, and name the new mechanisms in benchmarks.without

Cause: the rule by which a node reads the store itself had tests with real nodes only.

Change: a test of the relay; entries for the reading of the store, for chunks and for resets of HTTP/1.0 callers.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -58,6 +58,7 @@
 BACKLOG = "ragwortferry/http1/tests/test_backlog.py"
 MESH_STATE = "ragwortferry/mesh/tests/test_state.py"
 ACCEPTED = "ragwortferry/platform/tests/test_accepted_entries.py"
+SEVERED = "ragwortferry/mesh/tests/test_severed.py"
 SERVER = "ragwortferry/http1/tests/test_server.py"
 STOP = "ragwortferry/mesh/tests/test_planned_stop.py"
 PROCESS_STOP = "ragwortferry/requests/tests/test_planned_stop.py"
@@ -288,6 +289,27 @@
         "        if False:",
         f"{RESET_RESPONSES}::test_response_without_length_that_is_reset_is_not_complete",
     ),
+    Mechanism(
+        "reading of the store by a node that hears no other",
+        "ragwortferry/mesh/reader.py",
+        "return self._relay.is_severed(",
+        "return False and self._relay.is_severed(",
+        f"{SEVERED}::test_idle_links_that_go_silent_hide_no_change",
+    ),
+    Mechanism(
+        "no chunks to an HTTP/1.0 caller of a node",
+        "ragwortferry/http1/server.py",
+        "self._chunked = self.request.accepts_chunks",
+        "self._chunked = True",
+        f"{SERVER}::test_response_of_unknown_length_to_an_http_1_0_caller_has_no_chunks",
+    ),
+    Mechanism(
+        "reset of an HTTP/1.0 caller of a node",
+        "ragwortferry/http1/server.py",
+        "            set_no_linger(self._transport)\n",
+        "",
+        f"{SERVER}::test_aborted_response_to_an_http_1_0_caller_ends_with_a_reset",
+    ),
     Mechanism(
         "slot share of a route",
         "ragwortferry/requests/slots.py",
--- a/ragwortferry/mesh/tests/test_links.py
+++ b/ragwortferry/mesh/tests/test_links.py
@@ -285,6 +285,19 @@
     assert readers == order[1 : 1 + HUBS_PER_ZONE]
 
 
+def test_node_is_severed_only_if_it_hears_none_of_the_preceding_nodes():
+    hosts = [f"10.0.0.{n}" for n in range(1, 6)]
+    _, relay = _relay(hosts[0])
+    relay.set_hosts({other: "a" for other in hosts[1:]})
+    order = relay.zone_order
+    for host in order[1:]:
+        _, relay = _relay(host)
+        relay.set_hosts({other: "a" for other in hosts if other != host})
+        position = order.index(host)
+        assert relay.is_severed(order[position + 1 :])
+        assert not any(relay.is_severed([heard]) for heard in order[:position])
+
+
 def test_tree_connects_all_nodes_of_a_large_zone():
     hosts = {f"10.0.{n // 200}.{n % 200}": "a" for n in range(400)}
     edges = {}
