Look for the silence of neighbours in the tree as on busy links

Cause: that change read the store while links were silent that a new connection could replace.

Change: a link to a neighbour in the tree of the zone is given up after the timeout of a busy link, also without pending attempts, and dialed again; pings stay as rare. The store is read only if no preceding node is heard 0.1 s after that.

--- a/ragwortferry/mesh/links/peers.py
+++ b/ragwortferry/mesh/links/peers.py
@@ -60,9 +60,9 @@
 # megabyte takes 1.4 s at 3 Mbit/s, and pongs queue behind it. At a higher bandwidth it
 # takes less.
 SLOW_NETWORK_TIMEOUT_S, SLOW_NETWORK_MBPS = 2.0, 3.0
-# An idle link counts as silent if its ping is unanswered for as long as a busy link
-# would stay open, but at most for this long.
-MAX_SILENT_PING_S = 1.0
+# Time for a new link after one to a neighbour in the tree was found silent. Only then
+# does it show that the peer cannot be heard.
+RELINK_S = 0.1
 # An accepted link is closed if nothing is received for this long at all.
 ACCEPTED_TIMEOUT_S = 3.0
 # Shortest and longest interval between checks of the links that are due.
@@ -180,10 +180,10 @@
         return [*dialed, *self._accepted]
 
     def is_silent(self, link: Link) -> bool:
-        """Return whether a pong on an idle link is overdue, before it is closed."""
+        """Return whether a peer should have been heard on a link, old or new."""
         silence_s = asyncio.get_running_loop().time() - link.last_received_at
-        ping_timeout_s = min(MAX_SILENT_PING_S, self._busy_timeout(link))
-        return silence_s > IDLE_PING_INTERVAL_S + ping_timeout_s
+        timeout_s = IDLE_PING_INTERVAL_S + self._busy_timeout(link) + RELINK_S
+        return silence_s > timeout_s
 
     @property
     def connected_count(self) -> int:
@@ -702,7 +702,9 @@
             link.send(self._ping())
             if not peer.probe_token:
                 peer.probe_token, peer.probe_at = self._last_token, now
-        timeout_s = self._busy_timeout(link) if busy else IDLE_TIMEOUT_S
+        # Versions come from the neighbours, so their silence matters without attempts.
+        urgent = busy or link.host in self._relay.neighbours
+        timeout_s = self._busy_timeout(link) if urgent else IDLE_TIMEOUT_S
         if heartbeat.timed_out(now, timeout_s):
             link.close(f"ping unanswered for {timeout_s:g} s")
             return
