--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review; see REPORT.md."""
--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that the scripts of the review share."""
