Let case 2 of the review run with three nodes a zone

Cause: with two nodes a zone all of them are readers, which is not the usual deployment. Change: nine nodes, and a calm change of an entry before the silence.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -46,6 +46,7 @@
     await mesh.start_store()
     await proxy.start()
     for zone in "abc":
+        await mesh.add("tablero", zone)
         await mesh.add("tablero", zone)
         await mesh.add("archivo", zone)
     panels, exports = a_rule("panels", "tablero"), a_rule("exports", "archivo")
@@ -55,7 +56,9 @@
     await mesh.start_nodes()
     await mesh.wait_ready()
     await asyncio.sleep(1.0)
+    # A calm change of each part of the store, after which the readers watch again.
     await mesh.put_config(3, [{**panels, "priority": 1}])
+    await mesh.register(mesh.machines[0], cold_s=0.4)
     await asyncio.sleep(1.0)
 
     if case.trouble:
