--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,11 +1,14 @@
 """The store comes back from a copy; what is written to it next is never seen."""
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
 from review.common.mesh import Case, Machine, Mesh, a_rule
 
+# Whether the disruption takes place; the rest is the same without it.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DRAIN_S, CONFIG_APPLY_S, STABLE_WINDOW_S = 2.0, 2.0, 3.0
 # The store is away for this long, and its copy is this old when it goes away.
 AWAY_S, COPY_AGE_S = 1.0, 2.5
@@ -126,4 +129,4 @@
 
 
 if __name__ == "__main__":
-    Case(Path(__file__).parent).run(play)
+    Case(Path(__file__).parent, TROUBLE).run(play)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,15 @@
 """The open connections to the store go silent; the next version comes seconds late."""
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
 from review.common.mesh import Case, Machine, Mesh, a_rule
 from review.common.proxy import SilencingProxy
 
+# Whether the disruption takes place; the rest is the same without it.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CONFIG_APPLY_S = 2.0
 STABLE_WINDOW_S = 3.0
 NOT_FOUND = 404
@@ -85,4 +88,4 @@
 
 
 if __name__ == "__main__":
-    Case(Path(__file__).parent).run(play)
+    Case(Path(__file__).parent, TROUBLE).run(play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,15 @@
 """A connection is closed with a finished answer on it since an earlier one is slow."""
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
 from review.common.http import read_message, send_request
 from review.common.mesh import HOST, Case, Machine, Mesh, a_rule
 
+# Whether the disruption takes place; the rest is the same without it.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BOUNDS = {"drain_s": 3, "grace_s": 10, "config_apply_s": 3, "stable_window_s": 4}
 # Work, objective, timeouts and deadline of the large deployment: its downloads, which
 # have no shorter timeout than their deadline, and its safe requests.
@@ -101,4 +104,4 @@
 
 
 if __name__ == "__main__":
-    Case(Path(__file__).parent).run(play, BOUNDS)
+    Case(Path(__file__).parent, TROUBLE).run(play, BOUNDS)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,11 +1,14 @@
 """Two of eight upstreams leave at once without a report, and are used for too long."""
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
 from review.common.mesh import Case, Machine, Mesh, a_rule
 
+# Whether the disruption takes place; the rest is the same without it.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DRAIN_S = 2.0
 PAUSE_S = 0.008
 LEAVING = 2
@@ -70,4 +73,4 @@
 
 
 if __name__ == "__main__":
-    Case(Path(__file__).parent).run(play)
+    Case(Path(__file__).parent, TROUBLE).run(play)
--- a/review/common/mesh.py
+++ b/review/common/mesh.py
@@ -406,12 +406,13 @@
     """Runs a case, and keeps its record.
 
     :param folder: folder of the case.
+    :param trouble: whether the disruption takes place.
     """
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, trouble: bool):
         self._record = (folder / "record.txt").open("w")
         self._start = time.monotonic()
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = trouble
 
     def note(self, text: str, at: float | None = None) -> None:
         """Write a line into the record, with the seconds since the start."""
